--- /dev/null
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/config/Notes.java
@@ -0,0 +1,270 @@
+package io.samphiregauge.core.config;
+
+import io.samphiregauge.core.result.Result;
+import io.samphiregauge.schema.config.Backend;
+import io.samphiregauge.schema.config.Configuration;
+import io.samphiregauge.schema.config.FleetPolicy;
+import io.samphiregauge.schema.config.Model;
+import io.samphiregauge.schema.config.Service;
+import io.samphiregauge.schema.config.Team;
+import io.samphiregauge.schema.config.Withdrawal;
+import io.samphiregauge.schema.record.Note;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Function;
+
+/** Applies notes to a configuration. */
+public final class Notes {
+  private Notes() {}
+
+  /**
+   * Applies a note; the result does not depend on anything but the arguments.
+   *
+   * @param view configuration in force
+   * @param note the note
+   * @return the changed configuration, or why the note does not fit
+   */
+  public static Result<ConfigView> apply(ConfigView view, Note note) {
+    Withdrawal gone = note.getWithdrawn();
+    Configuration added = note.getAdded();
+    Configuration changed = note.getChanged();
+    Merge<Team> teams =
+        Merge.of("team", Team::getName, view.teams())
+            .withdraw(gone.getTeams())
+            .add(added.getTeams())
+            .change(changed.getTeams());
+    Merge<Model> models =
+        Merge.of("model", Model::getName, view.models())
+            .withdraw(wholeModels(gone.getModels()))
+            .add(added.getModels())
+            .change(changed.getModels());
+    Merge<Service> services =
+        Merge.of("service", Service::getName, view.services())
+            .withdraw(gone.getServices())
+            .add(added.getServices())
+            .change(changed.getServices());
+    Merge<Backend> backends =
+        Merge.of("backend server", Backend::getName, view.backends())
+            .withdraw(gone.getBackends())
+            .add(added.getBackends())
+            .change(changed.getBackends());
+    Optional<NoteFailure> failure =
+        firstOf(teams.failure, models.failure, services.failure, backends.failure);
+    if (failure.isPresent()) {
+      return Result.failed(failure.get());
+    }
+    Optional<FleetPolicy> policy =
+        changed.getFleetPolicy().or(added::getFleetPolicy).or(view::fleetPolicy);
+    return withdrawVersions(models.items(), gone.getModels())
+        .flatMap(
+            modelList ->
+                check(
+                    withoutKeys(teams.items(), gone.getKeyDigests()),
+                    modelList,
+                    services.items(),
+                    backends.items(),
+                    policy));
+  }
+
+  private static Result<ConfigView> check(
+      List<Team> teams,
+      List<Model> models,
+      List<Service> services,
+      List<Backend> backends,
+      Optional<FleetPolicy> policy) {
+    Configuration configuration =
+        policy
+            .map(value -> new Configuration(teams, models, services, backends, value))
+            .orElseGet(() -> new Configuration(teams, models, services, backends));
+    ConfigView view = ConfigView.of(configuration);
+    Optional<NoteFailure> failure =
+        firstOf(
+            sharedKey(teams),
+            unknownReference(view),
+            teams.stream()
+                .filter(team -> !(team.getWeight() > 0))
+                .findFirst()
+                .map(team -> new NoteFailure.OutOfRange("weight", team.getWeight())),
+            policy
+                .filter(p -> !(p.getReclaimableShare() >= 0 && p.getReclaimableShare() <= 1))
+                .map(p -> new NoteFailure.OutOfRange("reclaimableShare", p.getReclaimableShare())));
+    return failure.<Result<ConfigView>>map(Result::failed).orElseGet(() -> Result.success(view));
+  }
+
+  private static Optional<NoteFailure> unknownReference(ConfigView view) {
+    for (Team team : view.teams()) {
+      Optional<NoteFailure> failure =
+          firstOf(
+              unknownModel(view, team.getModels()),
+              team.getServices().stream()
+                  .filter(name -> view.service(name).isEmpty())
+                  .findFirst()
+                  .map(name -> new NoteFailure.Unknown("service", name)));
+      if (failure.isPresent()) {
+        return failure;
+      }
+    }
+    for (Backend backend : view.backends()) {
+      Optional<NoteFailure> failure =
+          firstOf(
+              unknownModel(view, backend.getModels()),
+              backend
+                  .getService()
+                  .filter(name -> view.service(name).isEmpty())
+                  .map(name -> new NoteFailure.Unknown("service", name)));
+      if (failure.isPresent()) {
+        return failure;
+      }
+    }
+    return Optional.empty();
+  }
+
+  private static Optional<NoteFailure> unknownModel(ConfigView view, List<String> references) {
+    for (String reference : references) {
+      int at = reference.indexOf('@');
+      String name = at < 0 ? reference : reference.substring(0, at);
+      boolean known =
+          view.model(name)
+              .filter(m -> at < 0 || m.getVersions().contains(reference.substring(at + 1)))
+              .isPresent();
+      if (!known) {
+        return Optional.of(new NoteFailure.Unknown("model", reference));
+      }
+    }
+    return Optional.empty();
+  }
+
+  private static Optional<NoteFailure> sharedKey(List<Team> teams) {
+    Map<String, String> owners = new HashMap<>();
+    for (Team team : teams) {
+      for (String digest : team.getKeyDigests()) {
+        Optional<String> other = Optional.ofNullable(owners.put(digest, team.getName()));
+        if (other.isPresent() && !other.get().equals(team.getName())) {
+          return Optional.of(new NoteFailure.SharedKey(other.get(), team.getName()));
+        }
+      }
+    }
+    return Optional.empty();
+  }
+
+  private static List<String> wholeModels(List<String> references) {
+    return references.stream().filter(name -> name.indexOf('@') < 0).toList();
+  }
+
+  private static Result<List<Model>> withdrawVersions(List<Model> models, List<String> references) {
+    List<Model> kept = new ArrayList<>(models);
+    for (String reference : references) {
+      int at = reference.indexOf('@');
+      if (at < 0) {
+        continue;
+      }
+      String name = reference.substring(0, at);
+      String version = reference.substring(at + 1);
+      boolean found = false;
+      for (int i = 0; i < kept.size(); i++) {
+        Model model = kept.get(i);
+        if (!model.getName().equals(name) || !model.getVersions().contains(version)) {
+          continue;
+        }
+        List<String> versions =
+            model.getVersions().stream().filter(v -> !v.equals(version)).toList();
+        kept.set(
+            i,
+            new Model(name, versions, model.getPromptPriceMicros(), model.getOutputPriceMicros()));
+        found = true;
+        break;
+      }
+      if (!found) {
+        return Result.failed(new NoteFailure.Unknown("model", reference));
+      }
+    }
+    return Result.success(kept);
+  }
+
+  private static List<Team> withoutKeys(List<Team> teams, List<String> withdrawnDigests) {
+    Set<String> withdrawn = new HashSet<>(withdrawnDigests);
+    return teams.stream().map(team -> withoutKeys(team, withdrawn)).toList();
+  }
+
+  private static Team withoutKeys(Team team, Set<String> withdrawn) {
+    List<String> kept =
+        team.getKeyDigests().stream().filter(digest -> !withdrawn.contains(digest)).toList();
+    if (kept.size() == team.getKeyDigests().size()) {
+      return team;
+    }
+    return TeamCopies.withKeys(team, kept);
+  }
+
+  @SafeVarargs
+  private static Optional<NoteFailure> firstOf(Optional<? extends NoteFailure>... failures) {
+    for (Optional<? extends NoteFailure> failure : failures) {
+      if (failure.isPresent()) {
+        return Optional.of(failure.get());
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Collects the changes of a note to one kind of item, up to the first failure. */
+  private static final class Merge<T> {
+    private final String kind;
+    private final Function<T, String> name;
+    private final Map<String, T> byName = new TreeMap<>();
+    private Optional<NoteFailure> failure = Optional.empty();
+
+    private Merge(String kind, Function<T, String> name) {
+      this.kind = kind;
+      this.name = name;
+    }
+
+    static <T> Merge<T> of(String kind, Function<T, String> name, Collection<T> items) {
+      Merge<T> merge = new Merge<>(kind, name);
+      items.forEach(item -> merge.byName.put(name.apply(item), item));
+      return merge;
+    }
+
+    Merge<T> withdraw(List<String> names) {
+      for (String gone : names) {
+        if (byName.remove(gone) == null) {
+          fail(new NoteFailure.Unknown(kind, gone));
+        }
+      }
+      return this;
+    }
+
+    Merge<T> add(List<T> items) {
+      for (T item : items) {
+        if (byName.putIfAbsent(name.apply(item), item) != null) {
+          fail(new NoteFailure.AlreadyExists(kind, name.apply(item)));
+        }
+      }
+      return this;
+    }
+
+    Merge<T> change(List<T> items) {
+      for (T item : items) {
+        if (byName.replace(name.apply(item), item) == null) {
+          fail(new NoteFailure.Unknown(kind, name.apply(item)));
+        }
+      }
+      return this;
+    }
+
+    List<T> items() {
+      return new ArrayList<>(byName.values());
+    }
+
+    private void fail(NoteFailure reason) {
+      if (failure.isEmpty()) {
+        failure = Optional.of(reason);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/config/TeamCopies.java
@@ -0,0 +1,21 @@
+package io.samphiregauge.core.config;
+
+import io.samphiregauge.schema.config.Team;
+import java.util.List;
+
+/** Copies teams with changes; the generated class has no setters. */
+final class TeamCopies {
+  private TeamCopies() {}
+
+  static Team withKeys(Team team, List<String> keyDigests) {
+    return new Team(
+        team.getName(),
+        keyDigests,
+        team.getModels(),
+        team.getServices(),
+        team.getWeight(),
+        team.getRequestsPerSecond().orElse(null),
+        team.getMaxConcurrent().orElse(null),
+        team.getSpendPerHourMicros().orElse(null));
+  }
+}
--- /dev/null
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/config/package-info.java
@@ -0,0 +1,2 @@
+/** Configuration in force, and the notes that change it. */
+package io.samphiregauge.core.config;
