--- /dev/null
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/log/Fold.java
@@ -0,0 +1,178 @@
+package io.samphiregauge.core.log;
+
+import static io.samphiregauge.core.log.FoldedState.NO_OFFSET;
+
+import io.samphiregauge.core.config.ConfigView;
+import io.samphiregauge.core.config.NoteFailure;
+import io.samphiregauge.core.config.Notes;
+import io.samphiregauge.core.result.Failure;
+import io.samphiregauge.core.result.Result;
+import io.samphiregauge.schema.RecordBody;
+import io.samphiregauge.schema.record.Checkpoint;
+import io.samphiregauge.schema.record.Ended;
+import io.samphiregauge.schema.record.Incarnation;
+import io.samphiregauge.schema.record.Joined;
+import io.samphiregauge.schema.record.LeaseClaim;
+import io.samphiregauge.schema.record.LeaseRelease;
+import io.samphiregauge.schema.record.LeaseRenewal;
+import io.samphiregauge.schema.record.LogRecord;
+import io.samphiregauge.schema.record.Note;
+import io.samphiregauge.schema.record.OrderDone;
+import io.samphiregauge.schema.record.OrderIntent;
+import io.samphiregauge.schema.record.PieceRelease;
+import io.samphiregauge.schema.record.PieceTable;
+import io.samphiregauge.schema.record.ProcessState;
+import io.samphiregauge.schema.record.SealedWindow;
+import io.samphiregauge.schema.record.UsageReportIntent;
+import io.samphiregauge.schema.record.UsageReported;
+import io.samphiregauge.schema.record.UsageSealed;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * Folds records into state. The result depends on nothing but the state, the offset and the record,
+ * so all processes that fold the same log agree.
+ *
+ * <pre>{@code
+ * FoldStep step = Fold.apply(state, offset, record);
+ * }</pre>
+ */
+public final class Fold {
+  private Fold() {}
+
+  /**
+   * Applies a record.
+   *
+   * @param state state before the record
+   * @param offset offset of the record, greater than that of the state
+   * @param record the record
+   * @return the state after the record; a rejected record changes only the offset
+   */
+  public static FoldStep apply(FoldedState state, long offset, LogRecord record) {
+    if (offset <= state.upToOffset()) {
+      return new FoldStep(
+          state, Optional.of(new RecordFailure.Repeated(offset, state.upToOffset())));
+    }
+    FoldedState moved = state.at(offset);
+    Result<FoldedState> result = admit(moved, record).flatMap(s -> accept(s, offset, record));
+    return result.fold(
+        next -> new FoldStep(next, Optional.empty()),
+        failure -> new FoldStep(countSequence(moved, record), Optional.of(failure)));
+  }
+
+  /**
+   * Turns a checkpoint into the state that it was made of.
+   *
+   * @param checkpoint a checkpoint
+   * @return the state at its offset
+   */
+  public static FoldedState restore(Checkpoint checkpoint) {
+    TreeMap<String, Long> sealed = new TreeMap<>();
+    for (SealedWindow window : checkpoint.getSealedWindows()) {
+      sealed.put(window.getRegion(), window.getWindow());
+    }
+    return new FoldedState(
+        checkpoint.getUpToOffset(),
+        checkpoint.getNoteOffset(),
+        ConfigView.of(checkpoint.getConfiguration()),
+        FoldedState.index(checkpoint.getLeases(), lease -> lease.getRole()),
+        FoldedState.index(checkpoint.getProcesses(), p -> p.getIncarnation().getVm()),
+        FoldedState.index(checkpoint.getOpenIntents(), intent -> intent.getOffset()),
+        FoldedState.index(checkpoint.getWindows(), w -> UsageFold.key(w.getSealed())),
+        sealed,
+        FoldedState.index(checkpoint.getPieces(), table -> table.getRegion()));
+  }
+
+  /** Lets only live processes write; notes come from operators, who do not join. */
+  private static Result<FoldedState> admit(FoldedState state, LogRecord record) {
+    RecordBody body = record.getBody();
+    if (body instanceof Note || body instanceof Joined) {
+      return Result.success(state);
+    }
+    Incarnation writer = record.getWriter();
+    if (!state.isLive(writer)) {
+      return Result.failed(new RecordFailure.WriterNotLive(writer.getVm()));
+    }
+    long folded = state.process(writer.getVm()).map(ProcessState::getSequence).orElse(NO_OFFSET);
+    if (record.getSequence() <= folded) {
+      return Result.failed(new RecordFailure.Repeated(record.getSequence(), folded));
+    }
+    return Result.success(countSequence(state, record));
+  }
+
+  private static FoldedState countSequence(FoldedState state, LogRecord record) {
+    Incarnation writer = record.getWriter();
+    if (!state.isLive(writer)) {
+      return state;
+    }
+    ProcessState process = state.process(writer.getVm()).orElseThrow();
+    if (record.getSequence() <= process.getSequence()) {
+      return state;
+    }
+    return state.withProcess(
+        new ProcessState(writer, process.getJoined(), process.isEnded(), record.getSequence()));
+  }
+
+  private static Result<FoldedState> accept(FoldedState state, long offset, LogRecord record) {
+    RecordBody body = record.getBody();
+    Incarnation writer = record.getWriter();
+    if (body instanceof Note note) {
+      return acceptNote(state, offset, note);
+    }
+    if (body instanceof Joined joined) {
+      return ProcessFold.join(state, writer, record.getSequence(), joined);
+    }
+    if (body instanceof Ended ended) {
+      return ProcessFold.end(state, writer, ended);
+    }
+    if (body instanceof LeaseClaim claim) {
+      return LeaseFold.claim(state, offset, writer, claim);
+    }
+    if (body instanceof LeaseRenewal renewal) {
+      return LeaseFold.renew(state, offset, writer, renewal);
+    }
+    if (body instanceof LeaseRelease release) {
+      return LeaseFold.release(state, offset, writer, release);
+    }
+    if (body instanceof OrderIntent intent) {
+      return OrderFold.intend(state, offset, writer, intent);
+    }
+    if (body instanceof OrderDone done) {
+      return OrderFold.finish(state, writer, done);
+    }
+    if (body instanceof PieceTable table) {
+      return PieceFold.assign(state, writer, table);
+    }
+    if (body instanceof PieceRelease release) {
+      return PieceFold.release(state, writer, release);
+    }
+    if (body instanceof UsageSealed sealed) {
+      return UsageFold.seal(state, offset, writer, sealed);
+    }
+    if (body instanceof UsageReportIntent intent) {
+      return UsageFold.intend(state, writer, intent);
+    }
+    if (body instanceof UsageReported reported) {
+      return UsageFold.confirm(state, writer, reported);
+    }
+    return acceptCheckpoint(state, body);
+  }
+
+  /** A checkpoint repeats the state that the fold has computed already, so it changes nothing. */
+  private static Result<FoldedState> acceptCheckpoint(FoldedState state, RecordBody body) {
+    if (body instanceof Checkpoint) {
+      return Result.success(state);
+    }
+    return Result.failed(
+        new RecordFailure.NotAllowed(
+            "The kind " + body.getClass().getSimpleName() + " is unknown."));
+  }
+
+  private static Result<FoldedState> acceptNote(FoldedState state, long offset, Note note) {
+    if (note.getBuildsOnOffset() != state.noteOffset()) {
+      Failure conflict = new NoteFailure.Conflict(note.getBuildsOnOffset(), state.noteOffset());
+      return Result.failed(conflict);
+    }
+    return Notes.apply(state.config(), note).map(config -> state.withNote(offset, config));
+  }
+}
--- /dev/null
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/log/FoldedState.java
@@ -0,0 +1,262 @@
+package io.samphiregauge.core.log;
+
+import io.samphiregauge.core.config.ConfigView;
+import io.samphiregauge.schema.record.Checkpoint;
+import io.samphiregauge.schema.record.Incarnation;
+import io.samphiregauge.schema.record.LeaseState;
+import io.samphiregauge.schema.record.OpenIntent;
+import io.samphiregauge.schema.record.PieceTable;
+import io.samphiregauge.schema.record.ProcessState;
+import io.samphiregauge.schema.record.SealedWindow;
+import io.samphiregauge.schema.record.WindowState;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Function;
+
+/**
+ * State folded from the log up to an offset; immutable.
+ *
+ * @param upToOffset last folded offset, or -1
+ * @param noteOffset offset of the last accepted note, or -1
+ * @param config configuration in force
+ * @param leases leases by role
+ * @param processes newest process of each VM, by VM
+ * @param openIntents order intents without a result, by offset
+ * @param windows usage windows that are not reported yet, by region and number
+ * @param lastSealedWindows newest sealed window by region
+ * @param pieces division of capacity by region
+ */
+public record FoldedState(
+    long upToOffset,
+    long noteOffset,
+    ConfigView config,
+    Map<String, LeaseState> leases,
+    Map<String, ProcessState> processes,
+    Map<Long, OpenIntent> openIntents,
+    Map<WindowKey, WindowState> windows,
+    Map<String, Long> lastSealedWindows,
+    Map<String, PieceTable> pieces) {
+
+  /** Offset that stands for "none". */
+  public static final long NO_OFFSET = -1;
+
+  /** Region and number of a usage window. */
+  public record WindowKey(String region, long window) implements Comparable<WindowKey> {
+    @Override
+    public int compareTo(WindowKey other) {
+      int byRegion = region.compareTo(other.region);
+      return byRegion != 0 ? byRegion : Long.compare(window, other.window);
+    }
+  }
+
+  /**
+   * Returns the state before the first record.
+   *
+   * @return a state without configuration, leases and processes
+   */
+  public static FoldedState empty() {
+    return new FoldedState(
+        NO_OFFSET,
+        NO_OFFSET,
+        ConfigView.empty(),
+        Map.of(),
+        Map.of(),
+        Map.of(),
+        Map.of(),
+        Map.of(),
+        Map.of());
+  }
+
+  /**
+   * Finds a lease that was claimed at least once.
+   *
+   * @param role role of the lease, such as {@code fleet/luzon}
+   * @return its state, released or not
+   */
+  public Optional<LeaseState> lease(String role) {
+    return Optional.ofNullable(leases.get(role));
+  }
+
+  /**
+   * Finds the newest process of a VM.
+   *
+   * @param vm identifier of the VM
+   * @return its state, ended or not
+   */
+  public Optional<ProcessState> process(String vm) {
+    return Optional.ofNullable(processes.get(vm));
+  }
+
+  /**
+   * Tells whether an incarnation has joined and has not ended.
+   *
+   * @param incarnation the incarnation
+   * @return true while its records count
+   */
+  public boolean isLive(Incarnation incarnation) {
+    return process(incarnation.getVm())
+        .filter(state -> state.getIncarnation().equals(incarnation) && !state.isEnded())
+        .isPresent();
+  }
+
+  /**
+   * Tells whether an incarnation is known to have ended.
+   *
+   * @param incarnation the incarnation
+   * @return true once its end, or a newer process of its VM, was folded
+   */
+  public boolean hasEnded(Incarnation incarnation) {
+    return process(incarnation.getVm())
+        .filter(
+            state ->
+                state.getIncarnation().equals(incarnation)
+                    ? state.isEnded()
+                    : state.getIncarnation().getStartMs() >= incarnation.getStartMs())
+        .isPresent();
+  }
+
+  /**
+   * Tells whether a fencing token is the current one of a role.
+   *
+   * @param role role of the lease
+   * @param token fencing token
+   * @return true while the lease is neither claimed anew nor released
+   */
+  public boolean isCurrent(String role, long token) {
+    return lease(role).filter(l -> l.getToken() == token && !l.isReleased()).isPresent();
+  }
+
+  /**
+   * Returns the state as a message.
+   *
+   * @return a checkpoint that {@link Fold#restore} turns into this state
+   */
+  public Checkpoint toCheckpoint() {
+    return new Checkpoint(
+        upToOffset,
+        noteOffset,
+        config.toConfiguration(),
+        List.copyOf(leases.values()),
+        List.copyOf(processes.values()),
+        List.copyOf(openIntents.values()),
+        List.copyOf(windows.values()),
+        lastSealedWindows.entrySet().stream().map(FoldedState::toSealedWindow).toList(),
+        List.copyOf(pieces.values()));
+  }
+
+  private static SealedWindow toSealedWindow(Map.Entry<String, Long> entry) {
+    return new SealedWindow(entry.getKey(), entry.getValue());
+  }
+
+  FoldedState at(long offset) {
+    return new FoldedState(
+        offset,
+        noteOffset,
+        config,
+        leases,
+        processes,
+        openIntents,
+        windows,
+        lastSealedWindows,
+        pieces);
+  }
+
+  FoldedState withNote(long offset, ConfigView next) {
+    return new FoldedState(
+        upToOffset,
+        offset,
+        next,
+        leases,
+        processes,
+        openIntents,
+        windows,
+        lastSealedWindows,
+        pieces);
+  }
+
+  FoldedState withLease(LeaseState lease) {
+    return new FoldedState(
+        upToOffset,
+        noteOffset,
+        config,
+        with(leases, lease.getRole(), lease),
+        processes,
+        openIntents,
+        windows,
+        lastSealedWindows,
+        pieces);
+  }
+
+  FoldedState withProcess(ProcessState process) {
+    return new FoldedState(
+        upToOffset,
+        noteOffset,
+        config,
+        leases,
+        with(processes, process.getIncarnation().getVm(), process),
+        openIntents,
+        windows,
+        lastSealedWindows,
+        pieces);
+  }
+
+  FoldedState withOpenIntents(Map<Long, OpenIntent> next) {
+    return new FoldedState(
+        upToOffset,
+        noteOffset,
+        config,
+        leases,
+        processes,
+        next,
+        windows,
+        lastSealedWindows,
+        pieces);
+  }
+
+  FoldedState withWindows(Map<WindowKey, WindowState> next, Map<String, Long> nextLastSealed) {
+    return new FoldedState(
+        upToOffset,
+        noteOffset,
+        config,
+        leases,
+        processes,
+        openIntents,
+        next,
+        nextLastSealed,
+        pieces);
+  }
+
+  FoldedState withPieces(PieceTable table) {
+    return new FoldedState(
+        upToOffset,
+        noteOffset,
+        config,
+        leases,
+        processes,
+        openIntents,
+        windows,
+        lastSealedWindows,
+        with(pieces, table.getRegion(), table));
+  }
+
+  static <K extends Comparable<K>, V> Map<K, V> with(Map<K, V> map, K key, V value) {
+    Map<K, V> copy = new TreeMap<>(map);
+    copy.put(key, value);
+    return copy;
+  }
+
+  static <K extends Comparable<K>, V> Map<K, V> without(Map<K, V> map, K key) {
+    Map<K, V> copy = new TreeMap<>(map);
+    copy.remove(key);
+    return copy;
+  }
+
+  static <K extends Comparable<K>, V> Map<K, V> index(List<V> values, Function<V, K> key) {
+    Map<K, V> byKey = new TreeMap<>();
+    new ArrayList<>(values).forEach(value -> byKey.put(key.apply(value), value));
+    return byKey;
+  }
+}
--- /dev/null
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/log/OrderFold.java
@@ -0,0 +1,50 @@
+package io.samphiregauge.core.log;
+
+import io.samphiregauge.core.result.Result;
+import io.samphiregauge.schema.record.Incarnation;
+import io.samphiregauge.schema.record.OpenIntent;
+import io.samphiregauge.schema.record.OrderDone;
+import io.samphiregauge.schema.record.OrderIntent;
+import io.samphiregauge.schema.record.ProcessState;
+
+/** Folds order intents and their results. */
+final class OrderFold {
+  private OrderFold() {}
+
+  static Result<FoldedState> intend(
+      FoldedState state, long offset, Incarnation writer, OrderIntent intent) {
+    String role = fleetRole(state, writer);
+    if (!LeaseFold.holds(state, role, intent.getToken(), writer)) {
+      return Result.failed(new RecordFailure.StaleToken(role, intent.getToken()));
+    }
+    return Result.success(
+        state.withOpenIntents(
+            FoldedState.with(state.openIntents(), offset, new OpenIntent(offset, intent))));
+  }
+
+  static Result<FoldedState> finish(FoldedState state, Incarnation writer, OrderDone done) {
+    String role = fleetRole(state, writer);
+    if (!LeaseFold.holds(state, role, done.getToken(), writer)) {
+      return Result.failed(new RecordFailure.StaleToken(role, done.getToken()));
+    }
+    if (!state.openIntents().containsKey(done.getIntentOffset())) {
+      return Result.failed(
+          new RecordFailure.NotAllowed(
+              "There is no open intent at offset %d.".formatted(done.getIntentOffset())));
+    }
+    return Result.success(
+        state.withOpenIntents(FoldedState.without(state.openIntents(), done.getIntentOffset())));
+  }
+
+  static String fleetRole(FoldedState state, Incarnation writer) {
+    return "fleet/" + region(state, writer);
+  }
+
+  static String region(FoldedState state, Incarnation writer) {
+    return state
+        .process(writer.getVm())
+        .map(ProcessState::getJoined)
+        .map(joined -> joined.getRegion())
+        .orElse("");
+  }
+}
--- /dev/null
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/log/UsageFold.java
@@ -0,0 +1,73 @@
+package io.samphiregauge.core.log;
+
+import io.samphiregauge.core.log.FoldedState.WindowKey;
+import io.samphiregauge.core.result.Result;
+import io.samphiregauge.schema.record.Incarnation;
+import io.samphiregauge.schema.record.UsageReportIntent;
+import io.samphiregauge.schema.record.UsageReported;
+import io.samphiregauge.schema.record.UsageSealed;
+import io.samphiregauge.schema.record.WindowState;
+import java.util.Optional;
+
+/** Folds seals and reports of usage windows; the first seal of a window stands. */
+final class UsageFold {
+  private UsageFold() {}
+
+  static WindowKey key(UsageSealed sealed) {
+    return new WindowKey(sealed.getRegion(), sealed.getWindow());
+  }
+
+  static Result<FoldedState> seal(
+      FoldedState state, long offset, Incarnation writer, UsageSealed sealed) {
+    String role = "usage/" + sealed.getRegion();
+    if (!LeaseFold.holds(state, role, sealed.getToken(), writer)) {
+      return Result.failed(new RecordFailure.StaleToken(role, sealed.getToken()));
+    }
+    long last = state.lastSealedWindows().getOrDefault(sealed.getRegion(), Long.MIN_VALUE);
+    if (sealed.getWindow() <= last) {
+      return Result.failed(
+          new RecordFailure.NotAllowed("The window %d is sealed.".formatted(sealed.getWindow())));
+    }
+    WindowState window = new WindowState(offset, sealed, false, false);
+    return Result.success(
+        state.withWindows(
+            FoldedState.with(state.windows(), key(sealed), window),
+            FoldedState.with(state.lastSealedWindows(), sealed.getRegion(), sealed.getWindow())));
+  }
+
+  static Result<FoldedState> intend(
+      FoldedState state, Incarnation writer, UsageReportIntent intent) {
+    WindowKey key = new WindowKey(intent.getRegion(), intent.getWindow());
+    return open(state, writer, key, intent.getToken())
+        .map(w -> new WindowState(w.getOffset(), w.getSealed(), true, false))
+        .map(
+            w ->
+                state.withWindows(
+                    FoldedState.with(state.windows(), key, w), state.lastSealedWindows()));
+  }
+
+  static Result<FoldedState> confirm(
+      FoldedState state, Incarnation writer, UsageReported reported) {
+    WindowKey key = new WindowKey(reported.getRegion(), reported.getWindow());
+    return open(state, writer, key, reported.getToken())
+        .map(
+            w ->
+                state.withWindows(
+                    FoldedState.without(state.windows(), key), state.lastSealedWindows()));
+  }
+
+  private static Result<WindowState> open(
+      FoldedState state, Incarnation writer, WindowKey key, long token) {
+    String role = "usage/" + key.region();
+    if (!LeaseFold.holds(state, role, token, writer)) {
+      return Result.failed(new RecordFailure.StaleToken(role, token));
+    }
+    return Optional.ofNullable(state.windows().get(key))
+        .<Result<WindowState>>map(Result::success)
+        .orElseGet(
+            () ->
+                Result.failed(
+                    new RecordFailure.NotAllowed(
+                        "The window %d has no open seal.".formatted(key.window()))));
+  }
+}
--- /dev/null
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/route/package-info.java
@@ -0,0 +1,2 @@
+/** Choice of a backend server for a request. */
+package io.samphiregauge.core.route;
--- /dev/null
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/EntryFailure.java
@@ -0,0 +1,22 @@
+package io.samphiregauge.daemon;
+
+import io.samphiregauge.core.result.Failure;
+import io.samphiregauge.schema.entry.Outcome;
+
+/**
+ * A request that gets no answer from a backend server.
+ *
+ * @param status HTTP status
+ * @param type type of the failure
+ * @param message description for people
+ * @param outcome whether the request may have run
+ */
+record EntryFailure(int status, String type, String message, Outcome outcome) implements Failure {
+  static EntryFailure notRun(int status, String type, String message) {
+    return new EntryFailure(status, type, message, Outcome.NOT_RUN);
+  }
+
+  static EntryFailure unknown(int status, String type, String message) {
+    return new EntryFailure(status, type, message, Outcome.OUTCOME_UNKNOWN);
+  }
+}
--- /dev/null
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/Codec.java
@@ -0,0 +1,182 @@
+package io.samphiregauge.net;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.jsontype.NamedType;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import io.samphiregauge.core.result.Result;
+import io.samphiregauge.schema.EngineOrder;
+import io.samphiregauge.schema.PeerMessage;
+import io.samphiregauge.schema.RecordBody;
+import io.samphiregauge.schema.order.ChangeRole;
+import io.samphiregauge.schema.order.Drain;
+import io.samphiregauge.schema.order.LoadModel;
+import io.samphiregauge.schema.order.StartBackends;
+import io.samphiregauge.schema.order.StopBackend;
+import io.samphiregauge.schema.peer.IndirectProbe;
+import io.samphiregauge.schema.peer.LoadDigest;
+import io.samphiregauge.schema.peer.MemberExchange;
+import io.samphiregauge.schema.peer.Probe;
+import io.samphiregauge.schema.peer.ProbeAck;
+import io.samphiregauge.schema.peer.RecordsReply;
+import io.samphiregauge.schema.peer.RecordsRequest;
+import io.samphiregauge.schema.peer.SuspicionAck;
+import io.samphiregauge.schema.peer.SuspicionNotice;
+import io.samphiregauge.schema.peer.UsageAnswer;
+import io.samphiregauge.schema.peer.UsageCopy;
+import io.samphiregauge.schema.peer.UsageQuery;
+import io.samphiregauge.schema.record.Checkpoint;
+import io.samphiregauge.schema.record.Ended;
+import io.samphiregauge.schema.record.Joined;
+import io.samphiregauge.schema.record.LeaseClaim;
+import io.samphiregauge.schema.record.LeaseRelease;
+import io.samphiregauge.schema.record.LeaseRenewal;
+import io.samphiregauge.schema.record.Note;
+import io.samphiregauge.schema.record.OrderDone;
+import io.samphiregauge.schema.record.OrderIntent;
+import io.samphiregauge.schema.record.PieceRelease;
+import io.samphiregauge.schema.record.PieceTable;
+import io.samphiregauge.schema.record.UsageReportIntent;
+import io.samphiregauge.schema.record.UsageReported;
+import io.samphiregauge.schema.record.UsageSealed;
+import java.io.IOException;
+import java.util.List;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+/**
+ * Encodes and decodes messages of the schema, as JSON or as MessagePack.
+ *
+ * <pre>{@code
+ * byte[] frame = Codec.messagePack().encode(probe);
+ * Result<PeerMessage> message = Codec.messagePack().decode(frame, PeerMessage.class);
+ * }</pre>
+ */
+public final class Codec {
+  private static final List<Class<?>> KINDS =
+      List.of(
+          Note.class,
+          LeaseClaim.class,
+          LeaseRenewal.class,
+          LeaseRelease.class,
+          OrderIntent.class,
+          OrderDone.class,
+          PieceTable.class,
+          PieceRelease.class,
+          UsageSealed.class,
+          UsageReportIntent.class,
+          UsageReported.class,
+          Joined.class,
+          Ended.class,
+          Checkpoint.class,
+          LoadModel.class,
+          ChangeRole.class,
+          Drain.class,
+          StartBackends.class,
+          StopBackend.class,
+          Probe.class,
+          ProbeAck.class,
+          IndirectProbe.class,
+          MemberExchange.class,
+          RecordsRequest.class,
+          RecordsReply.class,
+          UsageCopy.class,
+          UsageQuery.class,
+          UsageAnswer.class,
+          SuspicionNotice.class,
+          SuspicionAck.class,
+          LoadDigest.class);
+
+  private static final Codec JSON = new Codec(JsonMapper.builder().build());
+  private static final Codec MESSAGE_PACK = new Codec(new ObjectMapper(new MessagePackFactory()));
+
+  private final ObjectMapper mapper;
+
+  private Codec(ObjectMapper mapper) {
+    this.mapper = mapper;
+    mapper.registerModule(new Jdk8Module());
+    mapper.enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+    mapper.enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
+    mapper.setDefaultPropertyInclusion(JsonInclude.Include.NON_ABSENT);
+    mapper.addMixIn(RecordBody.class, Kinded.class);
+    mapper.addMixIn(PeerMessage.class, Kinded.class);
+    mapper.addMixIn(EngineOrder.class, Kinded.class);
+    KINDS.forEach(kind -> mapper.registerSubtypes(new NamedType(kind, kind.getSimpleName())));
+  }
+
+  /** Writes the name of the class into the field {@code kind}. */
+  @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "kind")
+  private interface Kinded {}
+
+  /**
+   * Returns the codec for HTTP bodies.
+   *
+   * @return a shared codec, safe for all threads
+   */
+  public static Codec json() {
+    return JSON;
+  }
+
+  /**
+   * Returns the codec for frames between entries.
+   *
+   * @return a shared codec, safe for all threads
+   */
+  public static Codec messagePack() {
+    return MESSAGE_PACK;
+  }
+
+  /**
+   * Encodes a message.
+   *
+   * @param message message of the schema, or a JSON tree
+   * @return its bytes
+   */
+  public byte[] encode(Object message) {
+    try {
+      return mapper.writeValueAsBytes(message);
+    } catch (JsonProcessingException e) {
+      throw new EncodingException(message.getClass().getSimpleName(), e);
+    }
+  }
+
+  /**
+   * Decodes a message.
+   *
+   * @param bytes its bytes
+   * @param type type of the message
+   * @return the message, or where the bytes are wrong
+   */
+  public <T> Result<T> decode(byte[] bytes, Class<T> type) {
+    try {
+      return Result.success(mapper.readValue(bytes, type));
+    } catch (IOException e) {
+      return Result.failed(NetFailure.BadMessage.of(type.getSimpleName(), e));
+    } catch (IllegalArgumentException e) {
+      return Result.failed(NetFailure.BadMessage.of(type.getSimpleName(), e));
+    }
+  }
+
+  /**
+   * Decodes any JSON or MessagePack value.
+   *
+   * @param bytes its bytes
+   * @return its tree, or where the bytes are wrong
+   */
+  public Result<JsonNode> decodeTree(byte[] bytes) {
+    return decode(bytes, JsonNode.class);
+  }
+
+  /** A message that cannot be encoded, which only a programming fault brings about. */
+  public static final class EncodingException extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    EncodingException(String type, Throwable cause) {
+      super("The message " + type + " cannot be encoded.", cause);
+    }
+  }
+}
--- /dev/null
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/HttpCaller.java
@@ -0,0 +1,158 @@
+package io.samphiregauge.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.samphiregauge.core.result.Result;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/** Makes whole HTTP calls to the platform, one connection a call. */
+public final class HttpCaller {
+  private static final int MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+  private static final int CONNECT_TIMEOUT_MS = 2_000;
+
+  private final EventLoopGroup loops;
+
+  /**
+   * Makes a caller.
+   *
+   * @param loops event loops that carry the calls; they stay the caller's
+   */
+  public HttpCaller(EventLoopGroup loops) {
+    this.loops = loops;
+  }
+
+  /**
+   * Sends a GET request.
+   *
+   * @param address address of the server
+   * @param path path and query
+   * @param timeoutMs longest silence before the call fails
+   * @return the body of a 2xx answer, or the failure
+   */
+  public CompletableFuture<Result<byte[]>> get(Address address, String path, int timeoutMs) {
+    return send(address, HttpMethod.GET, path, new byte[0], timeoutMs);
+  }
+
+  /**
+   * Sends a POST request with a JSON body.
+   *
+   * @param address address of the server
+   * @param path path and query
+   * @param json body
+   * @param timeoutMs longest silence before the call fails
+   * @return the body of a 2xx answer, or the failure
+   */
+  public CompletableFuture<Result<byte[]>> post(
+      Address address, String path, byte[] json, int timeoutMs) {
+    return send(address, HttpMethod.POST, path, json, timeoutMs);
+  }
+
+  private CompletableFuture<Result<byte[]>> send(
+      Address address, HttpMethod method, String path, byte[] body, int timeoutMs) {
+    CompletableFuture<Result<byte[]>> answer = new CompletableFuture<>();
+    Bootstrap bootstrap =
+        new Bootstrap()
+            .group(loops)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .handler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel channel) {
+                    channel
+                        .pipeline()
+                        .addLast(new ReadTimeoutHandler(timeoutMs, TimeUnit.MILLISECONDS))
+                        .addLast(new HttpClientCodec())
+                        .addLast(new HttpObjectAggregator(MAX_ANSWER_BYTES))
+                        .addLast(new AnswerHandler(address, answer));
+                  }
+                });
+    bootstrap
+        .connect(address.toSocketAddress())
+        .addListener(
+            (ChannelFuture connected) -> {
+              if (connected.isSuccess()) {
+                write(connected.channel(), address, method, path, body);
+              } else {
+                answer.complete(
+                    Result.failed(
+                        new NetFailure.NotConnected(
+                            address.toString(), String.valueOf(connected.cause()))));
+              }
+            });
+    return answer;
+  }
+
+  private static void write(
+      Channel channel, Address address, HttpMethod method, String path, byte[] body) {
+    var request =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1, method, path, Unpooled.wrappedBuffer(body));
+    request
+        .headers()
+        .set(HttpHeaderNames.HOST, address.toString())
+        .set(HttpHeaderNames.CONTENT_TYPE, "application/json")
+        .set(HttpHeaderNames.CONTENT_LENGTH, body.length)
+        .set(HttpHeaderNames.CONNECTION, "close");
+    channel.writeAndFlush(request);
+  }
+
+  private static final class AnswerHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private static final int FIRST_ERROR_STATUS = 300;
+
+    private final Address address;
+    private final CompletableFuture<Result<byte[]>> answer;
+
+    AnswerHandler(Address address, CompletableFuture<Result<byte[]>> answer) {
+      this.address = address;
+      this.answer = answer;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+      byte[] body = ByteBufUtil.getBytes(response.content());
+      int status = response.status().code();
+      answer.complete(
+          status < FIRST_ERROR_STATUS
+              ? Result.success(body)
+              : Result.failed(
+                  new NetFailure.Refused(
+                      address.toString(), status, new String(body, StandardCharsets.UTF_8))));
+      ctx.close();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+      answer.complete(
+          Result.failed(new NetFailure.NoAnswer(address.toString(), "connection closed")));
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      answer.complete(
+          Result.failed(new NetFailure.NoAnswer(address.toString(), String.valueOf(cause))));
+      ctx.close();
+    }
+  }
+}
--- /dev/null
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/HttpServer.java
@@ -0,0 +1,81 @@
+package io.samphiregauge.net;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.samphiregauge.core.result.Result;
+import java.net.InetSocketAddress;
+import java.util.function.Supplier;
+
+/** Accepts HTTP connections and gives each one a handler of its own. */
+public final class HttpServer implements AutoCloseable {
+  private static final int MAX_LINE_BYTES = 4 * 1024;
+  private static final int MAX_CHUNK_BYTES = 16 * 1024;
+
+  private final Channel channel;
+
+  private HttpServer(Channel channel) {
+    this.channel = channel;
+  }
+
+  /**
+   * Starts to accept connections.
+   *
+   * @param loops event loops that carry the connections; they stay the caller's
+   * @param address address to bind, with port 0 for a free one
+   * @param maxHeaderBytes largest request head
+   * @param handlers makes the handlers of a connection, which see Netty's HTTP objects
+   * @return the server, or why the address could not be bound
+   */
+  public static Result<HttpServer> start(
+      EventLoopGroup loops,
+      Address address,
+      int maxHeaderBytes,
+      Supplier<ChannelHandler[]> handlers) {
+    ServerBootstrap bootstrap =
+        new ServerBootstrap()
+            .group(loops)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, 1024)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel child) {
+                    child
+                        .pipeline()
+                        .addLast(
+                            new HttpServerCodec(MAX_LINE_BYTES, maxHeaderBytes, MAX_CHUNK_BYTES))
+                        .addLast(handlers.get());
+                  }
+                });
+    var bound = bootstrap.bind(address.toSocketAddress()).awaitUninterruptibly();
+    if (bound.isSuccess()) {
+      return Result.success(new HttpServer(bound.channel()));
+    }
+    return Result.failed(
+        new NetFailure.NotConnected(address.toString(), String.valueOf(bound.cause())));
+  }
+
+  /**
+   * Returns the address that the server is bound to.
+   *
+   * @return the address, with the port that was taken
+   */
+  public Address address() {
+    return Address.of((InetSocketAddress) channel.localAddress());
+  }
+
+  /** Stops to accept connections; open ones go on. */
+  @Override
+  public void close() {
+    channel.close().awaitUninterruptibly();
+  }
+}
