--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/HttpServer.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/HttpServer.java
@@ -5,12 +5,15 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.samphiregauge.core.Clock;
 import io.samphiregauge.core.result.Result;
 import java.net.InetSocketAddress;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 /** Accepts HTTP connections and gives each one a handler of its own. */
@@ -38,6 +41,17 @@
       Address address,
       int maxHeaderBytes,
       Supplier<ChannelHandler[]> handlers) {
+    return bind(
+        loops,
+        address,
+        pipeline ->
+            pipeline
+                .addLast(new HttpServerCodec(MAX_LINE_BYTES, maxHeaderBytes, MAX_CHUNK_BYTES))
+                .addLast(handlers.get()));
+  }
+
+  private static Result<HttpServer> bind(
+      EventLoopGroup loops, Address address, Consumer<ChannelPipeline> handlers) {
     ServerBootstrap bootstrap =
         new ServerBootstrap()
             .group(loops)
@@ -49,11 +63,7 @@
                 new ChannelInitializer<SocketChannel>() {
                   @Override
                   protected void initChannel(SocketChannel child) {
-                    child
-                        .pipeline()
-                        .addLast(
-                            new HttpServerCodec(MAX_LINE_BYTES, maxHeaderBytes, MAX_CHUNK_BYTES))
-                        .addLast(handlers.get());
+                    handlers.accept(child.pipeline());
                   }
                 });
     var bound = bootstrap.bind(address.toSocketAddress()).awaitUninterruptibly();
@@ -64,6 +74,37 @@
         new NetFailure.NotConnected(address.toString(), String.valueOf(bound.cause())));
   }
 
+  /**
+   * Starts to accept connections whose requests arrive whole, one at a time.
+   *
+   * @param loops event loops that carry the connections; they stay the caller's
+   * @param address address to bind, with port 0 for a free one
+   * @param limits limits of a request
+   * @param clock clock that the limits of time are counted on
+   * @param handler makes the handler of a connection, which sees a {@code FullHttpRequest} or a
+   *     {@link RequestFault} and writes one answer to each
+   * @return the server, or why the address could not be bound
+   */
+  public static Result<HttpServer> start(
+      EventLoopGroup loops,
+      Address address,
+      HttpLimits limits,
+      Clock clock,
+      Supplier<ChannelHandler> handler) {
+    return bind(loops, address, pipeline -> wholeRequests(pipeline, limits, clock, handler.get()));
+  }
+
+  static void wholeRequests(
+      ChannelPipeline pipeline, HttpLimits limits, Clock clock, ChannelHandler handler) {
+    RequestGate gate = new RequestGate(limits, clock);
+    pipeline
+        .addLast(gate.arrivals())
+        .addLast(new HttpServerCodec(MAX_LINE_BYTES, limits.maxHeaderBytes(), MAX_CHUNK_BYTES))
+        .addLast(gate)
+        .addLast(new BodyLimit(limits.maxBodyBytes()))
+        .addLast(handler);
+  }
+
   /**
    * Returns the address that the server is bound to.
    *
--- /dev/null
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/RequestGate.java
@@ -0,0 +1,254 @@
+package io.samphiregauge.net;
+
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.ScheduledFuture;
+import io.samphiregauge.core.Clock;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Lets one request at a time through, so that answers leave in the order of the requests, and
+ * limits the time that a caller takes to send one.
+ *
+ * <p>Requests that a caller sends ahead are held, and reading stops, until the answer before them
+ * is complete. A fault travels the same way as a request, so its answer never cuts another one.
+ */
+final class RequestGate extends ChannelDuplexHandler {
+  private static final long NO_DEADLINE = Long.MAX_VALUE;
+  // Time for a caller that still sends to read the answer before the connection is reset.
+  private static final int LINGER_MS = 2_000;
+
+  private enum State {
+    IDLE,
+    HEAD,
+    BODY,
+    ANSWERING,
+    LINGERING
+  }
+
+  private final HttpLimits limits;
+  private final Clock clock;
+  private final Deque<Object> held = new ArrayDeque<>();
+  private State state = State.HEAD;
+  private boolean keepAlive = true;
+  private boolean faulty;
+  private boolean version10;
+  private long deadlineMs = NO_DEADLINE;
+  private Optional<ScheduledFuture<?>> timer = Optional.empty();
+
+  RequestGate(HttpLimits limits, Clock clock) {
+    this.limits = limits;
+    this.clock = clock;
+  }
+
+  /** Returns a handler that sees the bytes before they are decoded. */
+  ChannelInboundHandlerAdapter arrivals() {
+    return new ChannelInboundHandlerAdapter() {
+      @Override
+      public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+        if (state == State.IDLE) {
+          state = State.HEAD;
+          limitTime(ctx, limits.headTimeoutMs());
+        }
+        ctx.fireChannelRead(bytes);
+      }
+    };
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext ctx) {
+    limitTime(ctx, limits.headTimeoutMs());
+  }
+
+  @Override
+  public void handlerRemoved(ChannelHandlerContext ctx) {
+    timer.ifPresent(running -> running.cancel(false));
+    held.forEach(ReferenceCountUtil::release);
+    held.clear();
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext ctx, Object part) {
+    if (state == State.LINGERING || faulty) {
+      ReferenceCountUtil.release(part);
+      return;
+    }
+    if (state == State.ANSWERING) {
+      held.add(part);
+      ctx.channel().config().setAutoRead(false);
+      return;
+    }
+    pass(ctx, part);
+  }
+
+  @Override
+  public void write(ChannelHandlerContext ctx, Object part, ChannelPromise promise) {
+    if (part instanceof HttpResponse head) {
+      if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+        ctx.write(part, promise);
+        return;
+      }
+      frame(head);
+    }
+    boolean last = part instanceof LastHttpContent;
+    ctx.write(part, promise);
+    if (last) {
+      answered(ctx, promise);
+    }
+  }
+
+  /** Sets how the caller finds the end of the answer, and whether the connection stays open. */
+  private void frame(HttpResponse head) {
+    boolean chunked = HttpUtil.isTransferEncodingChunked(head);
+    boolean sized = head.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
+    if (version10 && chunked) {
+      HttpUtil.setTransferEncodingChunked(head, false);
+      keepAlive = false;
+    } else if (!chunked && !sized && mayHaveBody(head)) {
+      HttpUtil.setTransferEncodingChunked(head, !version10);
+      keepAlive = keepAlive && !version10;
+    }
+    keepAlive = keepAlive && !faulty && HttpUtil.isKeepAlive(head);
+    HttpUtil.setKeepAlive(head.headers(), HttpVersion.HTTP_1_1, keepAlive);
+  }
+
+  private static boolean mayHaveBody(HttpResponse head) {
+    int status = head.status().code();
+    return status != 204 && status != 304;
+  }
+
+  private void answered(ChannelHandlerContext ctx, ChannelPromise promise) {
+    if (!keepAlive) {
+      state = State.LINGERING;
+      promise.addListener(written -> linger(ctx));
+      return;
+    }
+    state = State.IDLE;
+    limitTime(ctx, limits.idleTimeoutMs());
+    if (held.isEmpty()) {
+      ctx.channel().config().setAutoRead(true);
+    } else {
+      ctx.executor().execute(() -> passHeld(ctx));
+    }
+  }
+
+  /** Ends the caller's reading side at once and keeps taking what it still sends. */
+  private void linger(ChannelHandlerContext ctx) {
+    if (faulty && ctx.channel() instanceof SocketChannel socket) {
+      socket.shutdownOutput();
+      socket.config().setAutoRead(true);
+      limitTime(ctx, LINGER_MS);
+    } else {
+      ctx.close();
+    }
+  }
+
+  private void passHeld(ChannelHandlerContext ctx) {
+    while (!held.isEmpty() && state != State.ANSWERING && state != State.LINGERING) {
+      pass(ctx, held.remove());
+    }
+    if (held.isEmpty() && state != State.ANSWERING) {
+      ctx.channel().config().setAutoRead(true);
+    }
+  }
+
+  private void pass(ChannelHandlerContext ctx, Object part) {
+    if (part instanceof RequestFault fault) {
+      answerFault(ctx, fault);
+      return;
+    }
+    if (part instanceof HttpObject object && object.decoderResult().isFailure()) {
+      ReferenceCountUtil.release(part);
+      answerFault(ctx, fault(object.decoderResult().cause()));
+      return;
+    }
+    if (part instanceof HttpRequest head) {
+      state = State.BODY;
+      keepAlive = HttpUtil.isKeepAlive(head);
+      version10 = head.protocolVersion().compareTo(HttpVersion.HTTP_1_1) < 0;
+      limitTime(ctx, limits.bodyTimeoutMs());
+    }
+    if (part instanceof LastHttpContent) {
+      state = State.ANSWERING;
+      deadlineMs = NO_DEADLINE;
+    }
+    ctx.fireChannelRead(part);
+  }
+
+  private void answerFault(ChannelHandlerContext ctx, RequestFault fault) {
+    faulty = true;
+    state = State.ANSWERING;
+    deadlineMs = NO_DEADLINE;
+    ctx.fireChannelRead(fault);
+  }
+
+  private static RequestFault fault(Throwable cause) {
+    String reason = String.valueOf(cause.getMessage());
+    return cause instanceof TooLongFrameException
+        ? new RequestFault(431, "head_too_large", "The request head is too large: " + reason)
+        : new RequestFault(400, "malformed_request", "The request is not HTTP: " + reason);
+  }
+
+  /** Moves the deadline; the timer that is already running notices when it fires. */
+  private void limitTime(ChannelHandlerContext ctx, int timeoutMs) {
+    deadlineMs = clock.nowMs() + timeoutMs;
+    if (timer.isEmpty()) {
+      startTimer(ctx);
+    }
+  }
+
+  private void startTimer(ChannelHandlerContext ctx) {
+    long waitMs = deadlineMs - clock.nowMs();
+    timer =
+        Optional.of(ctx.executor().schedule(() -> checkTime(ctx), waitMs, TimeUnit.MILLISECONDS));
+  }
+
+  private void checkTime(ChannelHandlerContext ctx) {
+    timer = Optional.empty();
+    if (deadlineMs == NO_DEADLINE) {
+      return;
+    }
+    if (clock.nowMs() < deadlineMs) {
+      startTimer(ctx);
+      return;
+    }
+    deadlineMs = NO_DEADLINE;
+    timeOut(ctx);
+  }
+
+  private void timeOut(ChannelHandlerContext ctx) {
+    if (state == State.HEAD) {
+      answerFault(
+          ctx,
+          new RequestFault(
+              408,
+              "head_timeout",
+              "The request head was not whole after %d ms.".formatted(limits.headTimeoutMs())));
+    } else if (state == State.BODY) {
+      answerFault(
+          ctx,
+          new RequestFault(
+              408,
+              "body_timeout",
+              "The request body was not whole after %d ms.".formatted(limits.bodyTimeoutMs())));
+    } else {
+      ctx.close();
+    }
+  }
+}
