--- /dev/null
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/config/NotesTest.java
@@ -0,0 +1,84 @@
+package io.samphiregauge.core.config;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.samphiregauge.core.result.Failure;
+import io.samphiregauge.core.result.Result;
+import io.samphiregauge.schema.config.Configuration;
+import io.samphiregauge.schema.config.Model;
+import io.samphiregauge.schema.config.Team;
+import io.samphiregauge.schema.config.Withdrawal;
+import io.samphiregauge.schema.record.Note;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a note that leaves the configuration inconsistent, or that is half applied. */
+class NotesTest {
+  private static final Configuration NOTHING =
+      new Configuration(List.of(), List.of(), List.of(), List.of());
+
+  @Test
+  void withdrawsAKeyAndKeepsItsTeam() {
+    ConfigView view = configured();
+    Withdrawal key = new Withdrawal(List.of(), List.of("d1"), List.of(), List.of(), List.of());
+    ConfigView next = apply(view, NOTHING, NOTHING, key).value().orElseThrow();
+    assertThat(next.teamOfKey("d1")).isEmpty();
+    assertThat(next.teamOfKey("d2").map(Team::getName)).contains("t1");
+    assertThat(view.teamOfKey("d1")).isPresent();
+  }
+
+  @Test
+  void refusesToWithdrawAModelThatATeamMayReach() {
+    Withdrawal model = new Withdrawal(List.of(), List.of(), List.of("m1"), List.of(), List.of());
+    assertThat(type(apply(configured(), NOTHING, NOTHING, model))).isEqualTo("unknown_reference");
+  }
+
+  @Test
+  void refusesTheSameKeyForTwoTeams() {
+    Configuration added =
+        new Configuration(List.of(team("t2", "d1")), List.of(), List.of(), List.of());
+    assertThat(type(apply(configured(), added, NOTHING, nothing()))).isEqualTo("shared_key");
+  }
+
+  @Test
+  void refusesToAddATeamThatExists() {
+    Configuration added =
+        new Configuration(List.of(team("t1", "d9")), List.of(), List.of(), List.of());
+    assertThat(type(apply(configured(), added, NOTHING, nothing()))).isEqualTo("already_exists");
+  }
+
+  @Test
+  void refusesToChangeATeamThatDoesNotExist() {
+    Configuration changed =
+        new Configuration(List.of(team("t9", "d9")), List.of(), List.of(), List.of());
+    assertThat(type(apply(configured(), NOTHING, changed, nothing())))
+        .isEqualTo("unknown_reference");
+  }
+
+  private static ConfigView configured() {
+    Configuration added =
+        new Configuration(
+            List.of(team("t1", "d1", "d2")),
+            List.of(new Model("m1", List.of("1", "2"), 1L, 2L)),
+            List.of(),
+            List.of());
+    return apply(ConfigView.empty(), added, NOTHING, nothing()).value().orElseThrow();
+  }
+
+  private static Result<ConfigView> apply(
+      ConfigView view, Configuration added, Configuration changed, Withdrawal withdrawn) {
+    return Notes.apply(view, new Note(-1L, "ops", added, changed, withdrawn));
+  }
+
+  private static Team team(String name, String... digests) {
+    return new Team(name, List.of(digests), List.of("m1"), List.of(), 1.0);
+  }
+
+  private static Withdrawal nothing() {
+    return new Withdrawal(List.of(), List.of(), List.of(), List.of(), List.of());
+  }
+
+  private static String type(Result<ConfigView> result) {
+    return result.failure().map(Failure::type).orElse("accepted");
+  }
+}
