--- /dev/null
+++ b/samphiregauge-bench/src/main/java/io/samphiregauge/bench/StateSizes.java
@@ -0,0 +1,44 @@
+package io.samphiregauge.bench;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.List;
+
+/** Prints the encoded size and the heap size of the folded state at three sizes. */
+public final class StateSizes {
+  private static final Logger LOG = System.getLogger(StateSizes.class.getName());
+  private static final int COPIES = 64;
+
+  private StateSizes() {}
+
+  /**
+   * Runs the measurement.
+   *
+   * @param args not used
+   */
+  public static void main(String[] args) {
+    for (String size : List.of("8/8/12", "64/225/310", "560/1800/3100")) {
+      FoldBenchmark sample = new FoldBenchmark();
+      sample.size = size;
+      sample.fold();
+      Object[] copies = new Object[COPIES];
+      long beforeBytes = usedBytes();
+      for (int i = 0; i < COPIES; i++) {
+        copies[i] = sample.restoreCheckpoint();
+      }
+      long heapBytes = (usedBytes() - beforeBytes) / copies.length;
+      LOG.log(
+          Level.INFO,
+          "size={0} checkpoint_bytes={1} heap_bytes={2}",
+          size,
+          sample.checkpointBytes(),
+          heapBytes);
+    }
+  }
+
+  private static long usedBytes() {
+    System.gc();
+    Runtime runtime = Runtime.getRuntime();
+    return runtime.totalMemory() - runtime.freeMemory();
+  }
+}
