Add the tickets of non-idempotent requests

A non-idempotent request may run at most once, so one process has to own its record. A refusal of a request with a ticket by any other process says outcome_unknown, since the request may be a repeat of one that ran.

--- /dev/null
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/ticket/RecordedAnswer.java
@@ -0,0 +1,50 @@
+package io.samphiregauge.core.ticket;
+
+import java.nio.ByteBuffer;
+import java.util.Objects;
+
+/** A whole answer of a backend server, kept for repeats of its request; immutable. */
+public final class RecordedAnswer {
+  private final int status;
+  private final String contentType;
+  private final ByteBuffer body;
+
+  private RecordedAnswer(int status, String contentType, ByteBuffer body) {
+    this.status = status;
+    this.contentType = contentType;
+    this.body = body;
+  }
+
+  /**
+   * Records an answer.
+   *
+   * @param status HTTP status
+   * @param contentType media type of the body, or an empty text
+   * @param body the body, which is copied
+   * @return the answer
+   */
+  public static RecordedAnswer of(int status, String contentType, byte[] body) {
+    Objects.requireNonNull(contentType, "contentType");
+    return new RecordedAnswer(status, contentType, ByteBuffer.wrap(body.clone()));
+  }
+
+  /** Returns the HTTP status. */
+  public int status() {
+    return status;
+  }
+
+  /** Returns the media type of the body. */
+  public String contentType() {
+    return contentType;
+  }
+
+  /** Returns the body, read-only and with a position of its own. */
+  public ByteBuffer body() {
+    return body.asReadOnlyBuffer();
+  }
+
+  /** Returns the size of the body in bytes. */
+  public int size() {
+    return body.capacity();
+  }
+}
--- /dev/null
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/ticket/Ticket.java
@@ -0,0 +1,89 @@
+package io.samphiregauge.core.ticket;
+
+import io.samphiregauge.core.result.Result;
+import io.samphiregauge.schema.record.Incarnation;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Names the one process that may run a request, as {@code vm.start_ms.nonce.issued_ms.number}.
+ *
+ * @param owner process that issued the ticket
+ * @param issuedMs time of issue on the clock of the owner
+ * @param number number of the ticket among those of the owner
+ */
+public record Ticket(Incarnation owner, long issuedMs, long number) {
+  /** Header in which a caller sends a ticket. */
+  public static final String HEADER = "Samphire-Ticket";
+
+  /** Longest text that is parsed, in characters. */
+  static final int MAX_LENGTH = 256;
+
+  /** A VM name may contain dots, so the four numbers are taken from the end. */
+  private static final Pattern FORM =
+      Pattern.compile("(.+)\\.(-?\\d{1,19})\\.(-?\\d{1,19})\\.(\\d{1,19})\\.(\\d{1,19})");
+
+  /** Checks that there is an owner. */
+  public Ticket {
+    Objects.requireNonNull(owner, "owner");
+  }
+
+  /**
+   * Reads a ticket.
+   *
+   * @param text text from a caller
+   * @return the ticket, or a {@link TicketFailure.Malformed}
+   */
+  public static Result<Ticket> parse(String text) {
+    Objects.requireNonNull(text, "text");
+    return read(text)
+        .filter(ticket -> ticket.text().equals(text))
+        .<Result<Ticket>>map(Result::success)
+        .orElseGet(() -> Result.failed(new TicketFailure.Malformed(text.length())));
+  }
+
+  /**
+   * Returns the ticket as callers send it.
+   *
+   * @return text that {@link #parse} reads
+   */
+  public String text() {
+    return owner.getVm()
+        + "."
+        + owner.getStartMs()
+        + "."
+        + owner.getNonce()
+        + "."
+        + issuedMs
+        + "."
+        + number;
+  }
+
+  /**
+   * Tells which book of the owner has the record of this ticket.
+   *
+   * @param partitions number of books of the owner, greater than 0
+   * @return a number from 0 to {@code partitions - 1}
+   */
+  public int partition(int partitions) {
+    return (int) Long.remainderUnsigned(number, partitions);
+  }
+
+  private static Optional<Ticket> read(String text) {
+    Matcher parts = FORM.matcher(text);
+    if (text.length() > MAX_LENGTH || !parts.matches()) {
+      return Optional.empty();
+    }
+    try {
+      Incarnation owner =
+          new Incarnation(
+              parts.group(1), Long.parseLong(parts.group(2)), Long.parseLong(parts.group(3)));
+      return Optional.of(
+          new Ticket(owner, Long.parseLong(parts.group(4)), Long.parseLong(parts.group(5))));
+    } catch (NumberFormatException e) {
+      return Optional.empty();
+    }
+  }
+}
--- /dev/null
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/ticket/TicketEntry.java
@@ -0,0 +1,90 @@
+package io.samphiregauge.core.ticket;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** Record of one ticket in its book. */
+final class TicketEntry<W> {
+  /** Phases of a ticket, in order. */
+  enum Phase {
+    ISSUED,
+    ACCEPTED,
+    DISPATCHED,
+    SETTLED
+  }
+
+  private final Ticket ticket;
+  private final List<W> waiters = new ArrayList<>(1);
+  private Phase phase = Phase.ISSUED;
+  private Optional<TicketRequest> request = Optional.empty();
+  private Optional<TicketReply> reply = Optional.empty();
+  private boolean ran;
+
+  TicketEntry(Ticket ticket) {
+    this.ticket = ticket;
+  }
+
+  Ticket ticket() {
+    return ticket;
+  }
+
+  Phase phase() {
+    return phase;
+  }
+
+  boolean runs() {
+    return phase == Phase.ACCEPTED || phase == Phase.DISPATCHED;
+  }
+
+  boolean belongsTo(TicketRequest other) {
+    return request.isEmpty() || request.get().equals(other);
+  }
+
+  boolean belongsTo(String team) {
+    return request.filter(r -> r.team().equals(team)).isPresent();
+  }
+
+  Optional<TicketReply> reply() {
+    return reply;
+  }
+
+  /** Tells whether the request ran to its end, whether or not its answer was kept. */
+  boolean ran() {
+    return ran;
+  }
+
+  int waiterCount() {
+    return waiters.size();
+  }
+
+  void join(W waiter) {
+    waiters.add(waiter);
+  }
+
+  void accept(TicketRequest first, W waiter) {
+    request = Optional.of(first);
+    phase = Phase.ACCEPTED;
+    join(waiter);
+  }
+
+  void dispatch() {
+    phase = Phase.DISPATCHED;
+  }
+
+  /** Keeps the reply to repeats and hands over those who wait. */
+  List<W> settle(TicketReply kept, boolean done) {
+    phase = Phase.SETTLED;
+    reply = Optional.of(kept);
+    ran = done;
+    List<W> settled = List.copyOf(waiters);
+    waiters.clear();
+    return settled;
+  }
+
+  /** Settles a ticket at its first use. */
+  void refuse(TicketRequest first, TicketReply refusal) {
+    request = Optional.of(first);
+    settle(refusal, false);
+  }
+}
--- /dev/null
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/ticket/TicketRouting.java
@@ -0,0 +1,53 @@
+package io.samphiregauge.core.ticket;
+
+import io.samphiregauge.core.log.FoldedState;
+import io.samphiregauge.core.result.Failure;
+import io.samphiregauge.schema.record.Incarnation;
+import java.util.Optional;
+
+/** Decides which process handles a request with a ticket; safe for all threads. */
+public final class TicketRouting {
+  private TicketRouting() {}
+
+  /**
+   * Finds the place of a ticket.
+   *
+   * @param ticket ticket of the request
+   * @param self this process
+   * @param state folded log state
+   * @param forwarded whether another entry forwarded the request to this one
+   * @return here, another entry, or a refusal with {@code outcome_unknown}
+   */
+  public static TicketPlace place(
+      Ticket ticket, Incarnation self, FoldedState state, boolean forwarded) {
+    Incarnation owner = ticket.owner();
+    if (state.hasEnded(owner)) {
+      return nowhere(new TicketFailure.OwnerEnded(owner.getVm()));
+    }
+    if (owner.equals(self)) {
+      return new TicketPlace.Here(ticket);
+    }
+    Optional<TicketPlace> other =
+        state
+            .process(owner.getVm())
+            .filter(process -> !forwarded && process.getIncarnation().equals(owner))
+            .map(process -> new TicketPlace.Forward(ticket, process.getJoined().getHttpAddress()));
+    return other.orElseGet(() -> nowhere(new TicketFailure.OwnerUnreachable(owner.getVm())));
+  }
+
+  /**
+   * Refuses a request before the book of its owner was asked, for example for an unknown key. With
+   * a ticket the outcome is unknown, since the request may be a repeat of one that ran.
+   *
+   * @param ticket ticket of the request, if it has one
+   * @param reason why the request is refused
+   * @return a true refusal
+   */
+  public static TicketReply refusal(Optional<Ticket> ticket, Failure reason) {
+    return ticket.isPresent() ? TicketReply.unknown(reason) : TicketReply.notRun(reason);
+  }
+
+  private static TicketPlace nowhere(TicketFailure failure) {
+    return new TicketPlace.Nowhere(TicketReply.unknown(failure));
+  }
+}
--- /dev/null
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/ticket/TicketTest.java
@@ -0,0 +1,75 @@
+package io.samphiregauge.core.ticket;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.samphiregauge.core.log.Fold;
+import io.samphiregauge.core.log.FoldedState;
+import io.samphiregauge.schema.record.Ended;
+import io.samphiregauge.schema.record.Incarnation;
+import io.samphiregauge.schema.record.Joined;
+import io.samphiregauge.schema.record.LogRecord;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class TicketTest {
+  private static final Incarnation OWNER = new Incarnation("vm.1", 1_000, -7);
+  private static final Incarnation OTHER = new Incarnation("vm-2", 1_000, 8);
+  private static final Joined JOINED = new Joined("luzon", "d1", "10.0.0.1:80", "10.0.0.1:90");
+
+  /** Guards against a ticket that names another process once it was sent and read. */
+  @Property(tries = 200)
+  void textNamesTheSameTicket(
+      @ForAll long startMs,
+      @ForAll long nonce,
+      @ForAll @LongRange(min = 0) long issuedMs,
+      @ForAll @LongRange(min = 0) long number) {
+    Ticket ticket = new Ticket(new Incarnation("vm.a.1", startMs, nonce), issuedMs, number);
+    assertThat(Ticket.parse(ticket.text()).value()).contains(ticket);
+  }
+
+  /** Guards against an exception, or two texts of one ticket, for text from a caller. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "",
+        "vm.1.2.3",
+        ".1.2.3.4",
+        "vm.1.2.3.-4",
+        "vm.1.2.3.04",
+        "vm.1.2.3.99999999999999999999",
+        "vm.1.2.3.4 "
+      })
+  void otherTextIsRefused(String text) {
+    assertThat(Ticket.parse(text).failure()).contains(new TicketFailure.Malformed(text.length()));
+  }
+
+  /** Guards against a run at a process that the ticket does not name. */
+  @Test
+  void onlyTheOwnerHandlesATicket() {
+    Ticket ticket = new Ticket(OWNER, 5, 6);
+    FoldedState joined = fold(FoldedState.empty(), 0, OWNER, 1, JOINED);
+    assertThat(TicketRouting.place(ticket, OWNER, joined, false))
+        .isEqualTo(new TicketPlace.Here(ticket));
+    assertThat(TicketRouting.place(ticket, OTHER, joined, false))
+        .isEqualTo(new TicketPlace.Forward(ticket, "10.0.0.1:80"));
+    assertUnknown(TicketRouting.place(ticket, OTHER, joined, true));
+    assertUnknown(TicketRouting.place(ticket, OTHER, FoldedState.empty(), false));
+    FoldedState ended = Fold.apply(joined, 1, new LogRecord(OWNER, 2, new Ended(OWNER))).state();
+    assertUnknown(TicketRouting.place(ticket, OWNER, ended, false));
+    FoldedState restarted = fold(joined, 1, new Incarnation("vm.1", 2_000, 3), 1, JOINED);
+    assertUnknown(TicketRouting.place(ticket, OTHER, restarted, false));
+  }
+
+  private static FoldedState fold(
+      FoldedState state, long offset, Incarnation writer, long sequence, Joined joined) {
+    return Fold.apply(state, offset, new LogRecord(writer, sequence, joined)).state();
+  }
+
+  private static void assertUnknown(TicketPlace place) {
+    assertThat(((TicketPlace.Nowhere) place).reply().isNotRun()).isFalse();
+  }
+}
