Serve callers through admission, routing, retries, resumed streams and tickets

The first path relayed one answer over a new connection and could neither retry, resume nor tell truthfully whether a request had run. Calls with a ticket run on the event loop that owns the ticket and are recorded. EntryTest repeated a request without a bound; it stops after 1,000 tries now.

--- /dev/null
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/traffic/BackendIndex.java
@@ -0,0 +1,45 @@
+package io.samphiregauge.daemon.traffic;
+
+import io.samphiregauge.core.config.ConfigView;
+import io.samphiregauge.schema.config.Backend;
+import io.samphiregauge.schema.config.BackendKind;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Backend servers by what they serve; computed again when the configuration changes. */
+final class BackendIndex {
+  private final Map<String, List<Backend>> byModel = new HashMap<>();
+  private final Map<String, List<Backend>> byService = new HashMap<>();
+  private ConfigView indexed = ConfigView.empty();
+
+  List<Backend> engines(ConfigView config, String model) {
+    refresh(config);
+    return byModel.computeIfAbsent(
+        model, name -> config.backends().stream().filter(b -> serves(b, name)).toList());
+  }
+
+  List<Backend> services(ConfigView config, String service) {
+    refresh(config);
+    return byService.computeIfAbsent(
+        service, name -> config.backends().stream().filter(b -> runs(b, name)).toList());
+  }
+
+  private void refresh(ConfigView config) {
+    if (indexed != config) {
+      indexed = config;
+      byModel.clear();
+      byService.clear();
+    }
+  }
+
+  private static boolean serves(Backend backend, String model) {
+    return backend.getKind() == BackendKind.ENGINE
+        && backend.getModels().stream().anyMatch(name -> Admission.isVersionOf(name, model));
+  }
+
+  private static boolean runs(Backend backend, String service) {
+    return backend.getKind() == BackendKind.SERVICE
+        && backend.getService().filter(service::equals).isPresent();
+  }
+}
--- /dev/null
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/traffic/CallerOutput.java
@@ -0,0 +1,20 @@
+package io.samphiregauge.daemon.traffic;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+
+/** Passes an answer on to the caller's connection. */
+final class CallerOutput {
+  private CallerOutput() {}
+
+  static Output of(ChannelHandlerContext ctx) {
+    Channel channel = ctx.channel();
+    return new Output(
+        channel::write,
+        channel::flush,
+        failure -> CallerAnswers.refuse(ctx, failure),
+        // The missing end of the answer tells the caller that it is not whole.
+        () -> channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(w -> channel.close()));
+  }
+}
--- a/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/EntryFailure.java
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/traffic/EntryFailure.java
@@ -1,4 +1,4 @@
-package io.samphiregauge.daemon;
+package io.samphiregauge.daemon.traffic;
 
 import io.samphiregauge.core.result.Failure;
 import io.samphiregauge.schema.entry.Outcome;
@@ -19,4 +19,11 @@
   static EntryFailure unknown(int status, String type, String message) {
     return new EntryFailure(status, type, message, Outcome.OUTCOME_UNKNOWN);
   }
+
+  /** Takes over a failure of another layer that came about before the request ran. */
+  static EntryFailure notRun(Failure failure) {
+    return failure instanceof EntryFailure entry
+        ? entry
+        : notRun(400, failure.type(), failure.message());
+  }
 }
--- /dev/null
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/traffic/EventStreams.java
@@ -0,0 +1,47 @@
+package io.samphiregauge.daemon.traffic;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.samphiregauge.net.Codec;
+import io.samphiregauge.schema.entry.ErrorAnswer;
+import io.samphiregauge.schema.entry.ErrorDetail;
+import io.samphiregauge.schema.entry.Outcome;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+
+/** Tells which answers are streams of tokens, and estimates lengths. */
+final class EventStreams {
+  // Typical for English text; used where no engine has counted the tokens.
+  private static final int BYTES_PER_TOKEN = 4;
+
+  private EventStreams() {}
+
+  static boolean isFollowed(Call call, HttpResponse head) {
+    return call.isForEngine()
+        && head.status().equals(HttpResponseStatus.OK)
+        && !head.headers().contains(HttpHeaderNames.CONTENT_ENCODING)
+        && head.headers()
+            .get(HttpHeaderNames.CONTENT_TYPE, "")
+            .toLowerCase(Locale.ROOT)
+            .startsWith("text/event-stream");
+  }
+
+  /** Returns the event that tells a caller why its stream ends early. */
+  static HttpContent endedEarly() {
+    ErrorDetail detail =
+        new ErrorDetail(
+            "no_answer", "The stream ended before it was whole.", Outcome.OUTCOME_UNKNOWN);
+    String json = new String(Codec.json().encode(new ErrorAnswer(detail)), StandardCharsets.UTF_8);
+    String event = "event: error\ndata: " + json + "\n\n";
+    return new DefaultHttpContent(Unpooled.wrappedBuffer(event.getBytes(StandardCharsets.UTF_8)));
+  }
+
+  static int promptTokens(ByteBuf body) {
+    return body.readableBytes() / BYTES_PER_TOKEN;
+  }
+}
--- /dev/null
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/traffic/Router.java
@@ -0,0 +1,50 @@
+package io.samphiregauge.daemon.traffic;
+
+import io.samphiregauge.core.route.Candidate;
+import io.samphiregauge.core.route.Route;
+import io.samphiregauge.schema.config.Backend;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/** Gathers the candidates for a request and records the choice among them. */
+final class Router {
+  private final TrafficParts parts;
+  private final BackendLoads loads;
+  private final BackendIndex index;
+  private final DecisionLog log;
+
+  Router(TrafficParts parts, BackendLoads loads, BackendIndex index, DecisionLog log) {
+    this.parts = parts;
+    this.loads = loads;
+    this.index = index;
+    this.log = log;
+  }
+
+  /** Chooses a backend server that was not tried before. */
+  Optional<Route> route(Call call, Set<String> tried) {
+    TrafficView view = parts.views().get();
+    List<Backend> serving =
+        call.route()
+            .model()
+            .map(model -> index.engines(view.config(), model))
+            .orElseGet(() -> index.services(view.config(), call.target()));
+    List<Candidate> candidates = new ArrayList<>(serving.size());
+    for (Backend backend : serving) {
+      String name = backend.getName();
+      if (!tried.contains(name) && !view.leavingBackends().contains(name) && !loads.isHeld(name)) {
+        candidates.add(new Candidate(backend, loads.running(name), 0, hopUs(backend)));
+      }
+    }
+    Optional<Route> route = parts.policy().choose(call.route(), candidates);
+    log.record(call, route, candidates.size(), tried.size());
+    return route;
+  }
+
+  private int hopUs(Backend backend) {
+    return backend.getFailureDomain().equals(parts.settings().getFailureDomain())
+        ? 0
+        : parts.settings().getDomainHopUs();
+  }
+}
--- /dev/null
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/traffic/TicketDesk.java
@@ -0,0 +1,95 @@
+package io.samphiregauge.daemon.traffic;
+
+import io.samphiregauge.core.result.Failure;
+import io.samphiregauge.core.result.Result;
+import io.samphiregauge.core.ticket.Settlement;
+import io.samphiregauge.core.ticket.Ticket;
+import io.samphiregauge.core.ticket.TicketBook;
+import io.samphiregauge.core.ticket.TicketDecision;
+import io.samphiregauge.core.ticket.TicketLimits;
+import io.samphiregauge.core.ticket.TicketReply;
+import io.samphiregauge.core.ticket.TicketRequest;
+import io.samphiregauge.schema.entry.TicketOutcome;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/** Runs calls with tickets, each on the event loop that owns its ticket. */
+final class TicketDesk {
+  private final List<TrafficLoop> loops;
+  private final int maxAnswerBytes;
+
+  TicketDesk(List<TrafficLoop> loops, int loopCount) {
+    this.loops = loops;
+    this.maxAnswerBytes = TicketLimits.perBook(loopCount).maxAnswerBytes();
+  }
+
+  /** Issues a ticket of the event loop that asks. */
+  Result<Ticket> issue(TrafficLoop loop) {
+    return loop.tickets().issue(loop.parts().clock().nowMs());
+  }
+
+  /**
+   * Runs a call unless its ticket was used before.
+   *
+   * @param ticket a ticket of this process
+   * @param call the call
+   * @param admission gives the reason why the call must not run now, if there is one
+   * @param waiter takes the reply, on the event loop of the ticket
+   */
+  void run(
+      Ticket ticket,
+      Call call,
+      Supplier<Optional<? extends Failure>> admission,
+      Consumer<TicketReply> waiter) {
+    TrafficLoop owner = owner(ticket);
+    owner.eventLoop().execute(() -> use(owner, ticket, call, admission, waiter));
+  }
+
+  /** Tells what became of a call, on the event loop of its ticket. */
+  void outcome(Ticket ticket, String team, Consumer<TicketOutcome> taker) {
+    TrafficLoop owner = owner(ticket);
+    owner
+        .eventLoop()
+        .execute(() -> taker.accept(owner.tickets().outcome(ticket, team, nowMs(owner))));
+  }
+
+  private TrafficLoop owner(Ticket ticket) {
+    return loops.get(ticket.partition(loops.size()));
+  }
+
+  private void use(
+      TrafficLoop owner,
+      Ticket ticket,
+      Call call,
+      Supplier<Optional<? extends Failure>> admission,
+      Consumer<TicketReply> waiter) {
+    TicketRequest request = new TicketRequest(call.teamLabel(), call.fingerprint());
+    TicketDecision decision = owner.tickets().use(ticket, request, waiter, nowMs(owner), admission);
+    if (decision instanceof TicketDecision.Run) {
+      exchange(owner, ticket, call).start();
+    } else if (decision instanceof TicketDecision.Reply reply) {
+      waiter.accept(reply.reply());
+    }
+  }
+
+  private Exchange exchange(TrafficLoop owner, Ticket ticket, Call call) {
+    TicketBook<Consumer<TicketReply>> book = owner.tickets();
+    Output output =
+        AnswerRecorder.output(
+            maxAnswerBytes,
+            answer -> settle(book.finish(ticket, answer, nowMs(owner))),
+            failure -> settle(book.fail(ticket, failure, nowMs(owner))));
+    return new Exchange(owner, call, output, () -> book.dispatch(ticket).value().isPresent());
+  }
+
+  private static void settle(Optional<Settlement<Consumer<TicketReply>>> settlement) {
+    settlement.ifPresent(
+        settled -> settled.waiters().forEach(waiter -> waiter.accept(settled.reply())));
+  }
+
+  private static long nowMs(TrafficLoop loop) {
+    return loop.parts().clock().nowMs();
+  }
+}
--- /dev/null
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/traffic/TicketForward.java
@@ -0,0 +1,79 @@
+package io.samphiregauge.daemon.traffic;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpVersion;
+import io.samphiregauge.core.result.Result;
+import io.samphiregauge.core.ticket.TicketFailure;
+import io.samphiregauge.core.ticket.TicketPlace;
+import io.samphiregauge.core.ticket.TicketReply;
+import io.samphiregauge.net.Address;
+import io.samphiregauge.net.AnswerSink;
+import io.samphiregauge.net.HttpConnection;
+
+/**
+ * Passes a request with a ticket to the entry that owns the ticket. The request is never sent
+ * twice, and a failure says {@code outcome_unknown}, since an earlier attempt may have run there.
+ */
+final class TicketForward {
+  private final TrafficLoop loop;
+  private final ChannelHandlerContext ctx;
+  private final TicketPlace.Forward owner;
+  private boolean begun;
+
+  TicketForward(TrafficLoop loop, ChannelHandlerContext ctx, TicketPlace.Forward owner) {
+    this.loop = loop;
+    this.ctx = ctx;
+    this.owner = owner;
+  }
+
+  void send(FullHttpRequest request, HttpHeaders headers) {
+    headers.set(CallerHeaders.FORWARDED, loop.parts().settings().getVm());
+    headers.set(HttpHeaderNames.HOST, owner.httpAddress());
+    headers.set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
+    DefaultFullHttpRequest copy =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            request.method(),
+            request.uri(),
+            Unpooled.copiedBuffer(request.content()),
+            headers,
+            EmptyHttpHeaders.INSTANCE);
+    Result<Address> address = Address.parse(owner.httpAddress());
+    address.failure().ifPresent(failure -> unreachable());
+    address.value().ifPresent(to -> loop.pool().connect(to, false, open -> sendOn(open, copy)));
+  }
+
+  private void sendOn(Result<HttpConnection> opened, DefaultFullHttpRequest request) {
+    opened.failure().ifPresent(failure -> unreachable());
+    opened.value().ifPresent(open -> open.send(request, sink()));
+  }
+
+  private AnswerSink sink() {
+    return new AnswerSink(
+        part -> {
+          begun = true;
+          ctx.channel().write(part);
+        },
+        () -> ctx.channel().flush(),
+        failure -> lost());
+  }
+
+  private void lost() {
+    if (begun) {
+      ctx.channel().close();
+    } else {
+      unreachable();
+    }
+  }
+
+  private void unreachable() {
+    String vm = owner.ticket().owner().getVm();
+    CallerAnswers.reply(ctx, TicketReply.unknown(new TicketFailure.OwnerUnreachable(vm)));
+  }
+}
--- /dev/null
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/traffic/TrafficLoop.java
@@ -0,0 +1,27 @@
+package io.samphiregauge.daemon.traffic;
+
+import io.netty.channel.EventLoop;
+import io.samphiregauge.core.ticket.TicketBook;
+import io.samphiregauge.core.ticket.TicketReply;
+import io.samphiregauge.net.HttpPool;
+import java.util.function.Consumer;
+
+/**
+ * State of one event loop, which no other thread touches.
+ *
+ * @param eventLoop the event loop
+ * @param parts what the traffic side is made of
+ * @param shared what all event loops share
+ * @param pool connections to backend servers
+ * @param router choice of backend servers
+ * @param retries budget of retries
+ * @param tickets tickets that this event loop owns
+ */
+record TrafficLoop(
+    EventLoop eventLoop,
+    TrafficParts parts,
+    Shared shared,
+    HttpPool pool,
+    Router router,
+    RetryBudget retries,
+    TicketBook<Consumer<TicketReply>> tickets) {}
--- /dev/null
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/traffic/package-info.java
@@ -0,0 +1,2 @@
+/** Traffic side of an entry: callers, backend servers, tickets over HTTP and the directory. */
+package io.samphiregauge.daemon.traffic;
--- a/samphiregauge-daemon/src/test/java/io/samphiregauge/daemon/EntryTest.java
+++ b/samphiregauge-daemon/src/test/java/io/samphiregauge/daemon/EntryTest.java
@@ -24,6 +24,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -31,6 +32,8 @@
 /** Guards against a request that does not get through from end to end, or to a wrong team. */
 class EntryTest {
   private static final Address ANY = new Address("127.0.0.1", 0);
+  private static final int MAX_TRIES = 1_000;
+  private static final int TRY_INTERVAL_MS = 10;
   private static final Configuration NOTHING =
       new Configuration(List.of(), List.of(), List.of(), List.of());
   private final NioEventLoopGroup logLoop = new NioEventLoopGroup(1);
@@ -75,12 +78,17 @@
   /** Repeats the request until the entry has read the note; a refusal before that is not run. */
   private HttpResponse<String> completeOnceConfigured(String key) throws Exception {
     HttpResponse<String> answer = complete(key);
-    while (answer.statusCode() == 401) {
+    for (int i = 0; i < MAX_TRIES && isUnconfigured(answer); i++) {
+      TimeUnit.MILLISECONDS.sleep(TRY_INTERVAL_MS);
       answer = complete(key);
     }
     return answer;
   }
 
+  private static boolean isUnconfigured(HttpResponse<String> answer) {
+    return answer.statusCode() == 401 || answer.statusCode() == 503;
+  }
+
   private HttpResponse<String> complete(String key) throws Exception {
     URI uri = URI.create("http://" + entry.address() + "/v1/completions");
     HttpRequest request =
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/HttpConnection.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/HttpConnection.java
@@ -115,11 +115,15 @@
       return;
     }
     AnswerSink taker = sink.orElseThrow();
-    if (part instanceof LastHttpContent) {
+    boolean last = part instanceof LastHttpContent;
+    if (last) {
       sink = Optional.empty();
       finish();
     }
     taker.part().accept(part);
+    if (last) {
+      taker.batchEnd().run();
+    }
   }
 
   /** Notes whether the connection can be used again; an interim head is no answer. */
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/HttpServer.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/HttpServer.java
@@ -7,13 +7,17 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.samphiregauge.core.Clock;
 import io.samphiregauge.core.result.Result;
 import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.Supplier;
 
 /** Accepts HTTP connections and gives each one a handler of its own. */
@@ -22,9 +26,11 @@
   private static final int MAX_CHUNK_BYTES = 16 * 1024;
 
   private final Channel channel;
+  private final ChannelGroup callers;
 
-  private HttpServer(Channel channel) {
+  private HttpServer(Channel channel, ChannelGroup callers) {
     this.channel = channel;
+    this.callers = callers;
   }
 
   /**
@@ -52,6 +58,7 @@
 
   private static Result<HttpServer> bind(
       EventLoopGroup loops, Address address, Consumer<ChannelPipeline> handlers) {
+    ChannelGroup callers = new DefaultChannelGroup(loops.next(), true);
     ServerBootstrap bootstrap =
         new ServerBootstrap()
             .group(loops)
@@ -63,12 +70,13 @@
                 new ChannelInitializer<SocketChannel>() {
                   @Override
                   protected void initChannel(SocketChannel child) {
+                    callers.add(child);
                     handlers.accept(child.pipeline());
                   }
                 });
     var bound = bootstrap.bind(address.toSocketAddress()).awaitUninterruptibly();
     if (bound.isSuccess()) {
-      return Result.success(new HttpServer(bound.channel()));
+      return Result.success(new HttpServer(bound.channel(), callers));
     }
     return Result.failed(
         new NetFailure.NotConnected(address.toString(), String.valueOf(bound.cause())));
@@ -81,8 +89,8 @@
    * @param address address to bind, with port 0 for a free one
    * @param limits limits of a request
    * @param clock clock that the limits of time are counted on
-   * @param handler makes the handler of a connection, which sees a {@code FullHttpRequest} or a
-   *     {@link RequestFault} and writes one answer to each
+   * @param handler makes the handler of a connection, on its event loop; it sees a {@code
+   *     FullHttpRequest} or a {@link RequestFault} and writes one answer to each
    * @return the server, or why the address could not be bound
    */
   public static Result<HttpServer> start(
@@ -90,8 +98,11 @@
       Address address,
       HttpLimits limits,
       Clock clock,
-      Supplier<ChannelHandler> handler) {
-    return bind(loops, address, pipeline -> wholeRequests(pipeline, limits, clock, handler.get()));
+      Function<Channel, ChannelHandler> handler) {
+    return bind(
+        loops,
+        address,
+        pipeline -> wholeRequests(pipeline, limits, clock, handler.apply(pipeline.channel())));
   }
 
   static void wholeRequests(
@@ -114,6 +125,24 @@
     return Address.of((InetSocketAddress) channel.localAddress());
   }
 
+  /**
+   * Stops to accept connections, and closes each open one as soon as no request is on it; only for
+   * a server whose requests arrive whole.
+   *
+   * @return completes when no connection is open
+   */
+  public CompletableFuture<Void> finish() {
+    CompletableFuture<Void> finished = new CompletableFuture<>();
+    channel.close().addListener(closed -> closeCallers(finished));
+    return finished;
+  }
+
+  private void closeCallers(CompletableFuture<Void> finished) {
+    callers.forEach(
+        caller -> caller.pipeline().fireUserEventTriggered(RequestGate.CLOSE_WHEN_IDLE));
+    callers.newCloseFuture().addListener(closed -> finished.complete(null));
+  }
+
   /** Stops to accept connections; open ones go on. */
   @Override
   public void close() {
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/RequestGate.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/RequestGate.java
@@ -30,6 +30,9 @@
  * is complete. A fault travels the same way as a request, so its answer never cuts another one.
  */
 final class RequestGate extends ChannelDuplexHandler {
+  /** Event that closes the connection as soon as no request is on it. */
+  static final Object CLOSE_WHEN_IDLE = new Object();
+
   private static final long NO_DEADLINE = Long.MAX_VALUE;
   // Time for a caller that still sends to read the answer before the connection is reset.
   private static final int LINGER_MS = 2_000;
@@ -48,6 +51,8 @@
   private State state = State.HEAD;
   private boolean keepAlive = true;
   private boolean faulty;
+  private boolean closing;
+  private boolean arrived;
   private boolean version10;
   private long deadlineMs = NO_DEADLINE;
   private Optional<ScheduledFuture<?>> timer = Optional.empty();
@@ -62,6 +67,7 @@
     return new ChannelInboundHandlerAdapter() {
       @Override
       public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+        arrived = true;
         if (state == State.IDLE) {
           state = State.HEAD;
           limitTime(ctx, limits.headTimeoutMs());
@@ -97,6 +103,18 @@
     pass(ctx, part);
   }
 
+  @Override
+  public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+    if (event != CLOSE_WHEN_IDLE) {
+      ctx.fireUserEventTriggered(event);
+      return;
+    }
+    closing = true;
+    if (state == State.IDLE || !arrived) {
+      ctx.close();
+    }
+  }
+
   @Override
   public void write(ChannelHandlerContext ctx, Object part, ChannelPromise promise) {
     if (part instanceof HttpResponse head) {
@@ -124,7 +142,7 @@
       HttpUtil.setTransferEncodingChunked(head, !version10);
       keepAlive = keepAlive && !version10;
     }
-    keepAlive = keepAlive && !faulty && HttpUtil.isKeepAlive(head);
+    keepAlive = keepAlive && !faulty && !closing && HttpUtil.isKeepAlive(head);
     HttpUtil.setKeepAlive(head.headers(), HttpVersion.HTTP_1_1, keepAlive);
   }
 
@@ -134,7 +152,7 @@
   }
 
   private void answered(ChannelHandlerContext ctx, ChannelPromise promise) {
-    if (!keepAlive) {
+    if (!keepAlive || closing) {
       state = State.LINGERING;
       promise.addListener(written -> linger(ctx));
       return;
