--- a/samphiregauge-bench/src/main/java/io/samphiregauge/bench/StateSizes.java
+++ b/samphiregauge-bench/src/main/java/io/samphiregauge/bench/StateSizes.java
@@ -4,7 +4,7 @@
 import java.lang.System.Logger.Level;
 import java.util.List;
 
-/** Prints the encoded size and the heap size of the folded state at three sizes. */
+/** Prints the heap size of the folded state and of tickets at three sizes. */
 public final class StateSizes {
   private static final Logger LOG = System.getLogger(StateSizes.class.getName());
   private static final int COPIES = 64;
@@ -17,6 +17,27 @@
    * @param args not used
    */
   public static void main(String[] args) {
+    foldedState();
+    tickets();
+  }
+
+  private static void tickets() {
+    for (int kept : List.of(1_000, 10_000, 50_000)) {
+      long beforeBytes = usedBytes();
+      TicketBenchmark sample = new TicketBenchmark();
+      sample.kept = kept;
+      sample.fill();
+      long heapBytes = usedBytes() - beforeBytes;
+      LOG.log(
+          Level.INFO,
+          "tickets={0} heap_bytes={1} last={2}",
+          kept,
+          heapBytes,
+          sample.runOne().isPresent());
+    }
+  }
+
+  private static void foldedState() {
     for (String size : List.of("8/8/12", "64/225/310", "560/1800/3100")) {
       FoldBenchmark sample = new FoldBenchmark();
       sample.size = size;
--- /dev/null
+++ b/samphiregauge-bench/src/main/java/io/samphiregauge/bench/TicketBenchmark.java
@@ -0,0 +1,67 @@
+package io.samphiregauge.bench;
+
+import io.samphiregauge.core.ticket.RecordedAnswer;
+import io.samphiregauge.core.ticket.Settlement;
+import io.samphiregauge.core.ticket.Ticket;
+import io.samphiregauge.core.ticket.TicketBook;
+import io.samphiregauge.core.ticket.TicketLimits;
+import io.samphiregauge.core.ticket.TicketRequest;
+import io.samphiregauge.schema.record.Incarnation;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/** Measures the whole life of a ticket in a book that holds a number of finished ones. */
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+@Warmup(iterations = 3, time = 1)
+@Measurement(iterations = 5, time = 1)
+@Fork(3)
+@State(Scope.Benchmark)
+public class TicketBenchmark {
+  private static final long FIRST_USE_MS = 1_000;
+  private static final int MAX_ANSWER_BYTES = 1_024;
+  private static final int MAX_WAITERS = 16;
+  private static final byte[] BODY = new byte[512];
+
+  /** Number of finished tickets that the book holds. */
+  @Param({"1000", "10000", "50000"})
+  public int kept;
+
+  private TicketBook<Integer> book;
+  private long nowMs;
+
+  /** Fills the book; the clock then moves so that each new ticket replaces an old one. */
+  @Setup
+  public void fill() {
+    long recordMs = Math.max(FIRST_USE_MS, kept);
+    TicketLimits limits =
+        new TicketLimits(
+            FIRST_USE_MS, recordMs, 2 * kept + 16, MAX_ANSWER_BYTES, 1L << 30, MAX_WAITERS);
+    book = new TicketBook<>(new Incarnation("vm0", 1L, 1L), limits, 0, 1);
+    nowMs = 0;
+    for (int i = 0; i < kept; i++) {
+      runOne();
+    }
+  }
+
+  /** Issues a ticket, runs its request and records the answer. */
+  @Benchmark
+  public Optional<Settlement<Integer>> runOne() {
+    nowMs++;
+    Ticket ticket = book.issue(nowMs).value().orElseThrow();
+    book.use(ticket, new TicketRequest("t1", "f"), 1, nowMs, Optional::empty);
+    book.dispatch(ticket);
+    return book.finish(ticket, RecordedAnswer.of(200, "application/json", BODY), nowMs);
+  }
+}
