--- /dev/null
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/log/LogWriterTest.java
@@ -0,0 +1,80 @@
+package io.samphiregauge.core.log;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.samphiregauge.core.RandomSource;
+import io.samphiregauge.core.Step;
+import io.samphiregauge.core.log.LogWriter.Append;
+import io.samphiregauge.core.log.LogWriter.Event;
+import io.samphiregauge.schema.record.Incarnation;
+import io.samphiregauge.schema.record.LogRecord;
+import io.samphiregauge.schema.record.PieceRelease;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Test;
+
+/** Guards against records that are lost, reordered or numbered anew when answers are lost. */
+class LogWriterTest {
+  private static final Incarnation SELF = new Incarnation("vm1", 1L, 1L);
+  private static final RandomSource ZERO = () -> 0;
+
+  private static Step<LogWriter, Append> tick(LogWriter writer, long nowMs) {
+    return writer.on(new Event.Tick(), nowMs, ZERO);
+  }
+
+  private static LogWriter twoRecords() {
+    return LogWriter.of(SELF).write(new PieceRelease(0, 1)).write(new PieceRelease(1, 1));
+  }
+
+  @Test
+  void repeatsTheSameSequenceAfterALostAnswer() {
+    Step<LogWriter, Append> first = tick(twoRecords(), 0);
+    Step<LogWriter, Append> early = tick(first.state(), LogWriter.CALL_TIMEOUT_MS);
+    assertThat(early.actions()).isEmpty();
+    Step<LogWriter, Append> again = tick(early.state(), early.state().retryAtMs());
+    assertThat(again.actions().get(0).records()).isEqualTo(first.actions().get(0).records());
+    assertThat(again.state().firstSentMs(1)).isEqualTo(OptionalLong.of(0));
+  }
+
+  @Test
+  void sendsNothingWhileACallIsOpenAndTheNextRecordsTogetherAfterIt() {
+    LogWriter open = tick(LogWriter.of(SELF).write(new PieceRelease(0, 1)), 0).state();
+    LogWriter more = open.write(new PieceRelease(1, 1)).write(new PieceRelease(2, 1));
+    assertThat(tick(more, 1).actions()).isEmpty();
+    Step<LogWriter, Append> next = more.on(new Event.Answered(1), 2, ZERO);
+    assertThat(next.actions().get(0).records())
+        .extracting(LogRecord::getSequence)
+        .containsExactly(2L, 3L);
+  }
+
+  @Test
+  void aRecordThatWasReadBackIsNotRepeated() {
+    LogWriter failed = tick(twoRecords(), 0).state().on(new Event.Failed(1), 5, ZERO).state();
+    LogWriter read = failed.on(new Event.ReadBack(1), 6, ZERO).state();
+    assertThat(tick(read, read.retryAtMs()).actions().get(0).records())
+        .extracting(LogRecord::getSequence)
+        .containsExactly(2L);
+  }
+
+  @Test
+  void anAnswerToAnEarlierCallChangesNothing() {
+    LogWriter failed = tick(twoRecords(), 0).state().on(new Event.Failed(1), 5, ZERO).state();
+    LogWriter second = tick(failed, failed.retryAtMs()).state();
+    assertThat(second.on(new Event.Answered(1), 500, ZERO).state()).isEqualTo(second);
+  }
+
+  @Test
+  void waitsLongerAfterEachFailureUpToTheLimit() {
+    LogWriter writer = tick(twoRecords(), 0).state();
+    long nowMs = 0;
+    long lastWaitMs = 0;
+    for (int i = 0; i < 12; i++) {
+      writer = writer.on(new Event.Failed(writer.call()), nowMs, ZERO).state();
+      long waitMs = writer.retryAtMs() - nowMs;
+      assertThat(waitMs).isBetween(lastWaitMs, LogWriter.MAX_BACKOFF_MS);
+      lastWaitMs = waitMs;
+      nowMs = writer.retryAtMs();
+      writer = tick(writer, nowMs).state();
+    }
+    assertThat(lastWaitMs).isGreaterThanOrEqualTo(LogWriter.MAX_BACKOFF_MS / 2);
+  }
+}
