--- /dev/null
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/log/LogReaderTest.java
@@ -0,0 +1,102 @@
+package io.samphiregauge.core.log;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.samphiregauge.schema.RecordBody;
+import io.samphiregauge.schema.peer.RecordAt;
+import io.samphiregauge.schema.platform.RecordsPage;
+import io.samphiregauge.schema.record.Checkpoint;
+import io.samphiregauge.schema.record.Incarnation;
+import io.samphiregauge.schema.record.Joined;
+import io.samphiregauge.schema.record.LeaseClaim;
+import io.samphiregauge.schema.record.LogRecord;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a state that goes back, and against a start with records missing. */
+class LogReaderTest {
+  private static final Incarnation VM1 = new Incarnation("vm1", 1L, 1L);
+
+  private static RecordAt at(long offset, RecordBody body) {
+    return new RecordAt(offset, new LogRecord(VM1, offset + 1, body));
+  }
+
+  private static List<RecordAt> log() {
+    List<RecordAt> records = new ArrayList<>();
+    records.add(at(0, new Joined("luzon", "a", "127.0.0.1:1", "127.0.0.1:2")));
+    records.add(at(1, new LeaseClaim("fleet/luzon", -1L, 10_000L)));
+    records.add(at(2, new LeaseClaim("usage/luzon", -1L, 10_000L)));
+    FoldedState state = LogReader.atStart().read(page(0, 3, records)).state().state();
+    records.add(at(3, state.toCheckpoint()));
+    records.add(at(4, new LeaseClaim("fleet/luzon", 1L, 10_000L)));
+    return records;
+  }
+
+  private static RecordsPage page(long first, long next, List<RecordAt> records) {
+    return new RecordsPage(first, next, records);
+  }
+
+  @Test
+  void aReaderThatStartsAtACheckpointAgreesWithOneThatReadEverything() {
+    List<RecordAt> log = log();
+    LogReader whole = LogReader.atStart().read(page(0, 5, log)).state();
+    LogReader late = LogReader.atStart().read(page(3, 5, log.subList(3, 5))).state();
+    assertThat(late.nextOffset()).isEqualTo(3);
+    LogReader caughtUp = late.read(page(3, 5, log.subList(3, 5))).state();
+    assertThat(caughtUp.state().toCheckpoint()).isEqualTo(whole.state().toCheckpoint());
+  }
+
+  @Test
+  void withoutACheckpointItGoesOnLookingAndIsNotCaughtUp() {
+    RecordsPage rest = page(4, 5, log().subList(4, 5));
+    LogReader seeking = LogReader.atStart().read(rest).state();
+    assertThat(seeking.state().upToOffset()).isEqualTo(FoldedState.NO_OFFSET);
+    assertThat(seeking.isCaughtUp(rest)).isFalse();
+    assertThat(seeking.nextOffset()).isEqualTo(5);
+  }
+
+  @Test
+  void aCheckpointThatLeavesAGapIsNotUsed() {
+    List<RecordAt> log = log();
+    Checkpoint old = ((Checkpoint) log.get(3).getRecord().getBody());
+    RecordsPage gap = page(10, 11, List.of(new RecordAt(10L, new LogRecord(VM1, 9L, old))));
+    LogReader seeking = LogReader.atStart().read(gap).state();
+    assertThat(seeking.state().upToOffset()).isEqualTo(FoldedState.NO_OFFSET);
+  }
+
+  @Test
+  void refusesASnapshotThatIsNotNewer() {
+    List<RecordAt> log = log();
+    LogReader whole = LogReader.atStart().read(page(0, 5, log)).state();
+    var refused = whole.restore((Checkpoint) log.get(3).getRecord().getBody());
+    assertThat(refused.failure()).contains(new LogReader.OldSnapshot(2, 4));
+  }
+
+  @Test
+  void relayedRecordsWithAGapBeforeThemAreNotFolded() {
+    LogReader start = LogReader.atStart();
+    assertThat(start.relayed(0, log().subList(1, 2)).state()).isEqualTo(start);
+  }
+
+  @Test
+  void aCheckpointIsDueAfterHalfTheRetentionAndOnlyOnce() {
+    FoldedState state = LogReader.atStart().read(page(0, 5, log())).state().state();
+    assertThat(Checkpoints.every(12).due(state)).isEmpty();
+    Checkpoints plan = Checkpoints.every(8);
+    assertThat(plan.due(state)).contains(state.toCheckpoint());
+    assertThat(plan.written().due(state)).isEmpty();
+    assertThat(plan.written().seen(state.toCheckpoint(), true).due(state)).isEmpty();
+  }
+
+  @Test
+  void anEntryIsFreshForThreeSecondsAndFencedAfterTen() {
+    Freshness contact = Freshness.none().withOwnContact(1_000);
+    assertThat(Freshness.none().isFresh(0)).isFalse();
+    assertThat(contact.isFresh(4_000)).isTrue();
+    assertThat(contact.isFresh(4_001)).isFalse();
+    assertThat(contact.isFenced(10_999)).isFalse();
+    assertThat(contact.isFenced(11_000)).isTrue();
+    assertThat(contact.withPeerContact(5_000, 2_000).isFresh(6_001)).isFalse();
+  }
+}
