--- a/samphiregauge-standins/src/main/java/io/samphiregauge/standins/LogStandin.java
+++ b/samphiregauge-standins/src/main/java/io/samphiregauge/standins/LogStandin.java
@@ -1,55 +1,48 @@
 package io.samphiregauge.standins;
 
-import io.netty.buffer.ByteBufUtil;
-import io.netty.channel.ChannelHandler;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.QueryStringDecoder;
-import io.samphiregauge.core.result.Result;
 import io.samphiregauge.net.Address;
-import io.samphiregauge.net.Codec;
-import io.samphiregauge.net.HttpServer;
 import io.samphiregauge.schema.peer.RecordAt;
 import io.samphiregauge.schema.platform.AppendAnswer;
-import io.samphiregauge.schema.platform.RecordsPage;
 import io.samphiregauge.schema.record.LogRecord;
+import io.samphiregauge.schema.standin.LogFaults;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 
-/** Stand-in of the append-only log service. All state belongs to one event loop. */
+/**
+ * Stand-in of the append-only log service.
+ *
+ * <pre>{@code
+ * LogStandin log = LogStandin.start(loops, new Address("127.0.0.1", 0));
+ * log.onAppend(record -> new AppendFault.Effect(1, false, 0));
+ * }</pre>
+ */
 public final class LogStandin implements AutoCloseable {
-  private static final int MAX_HEADER_BYTES = 16 * 1024;
-  private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
-  private static final int MAX_PAGE_RECORDS = 1_000;
+  private static final String RECORDS = "/v1/streams/control/records";
 
-  private final EventLoopGroup loop;
-  private final List<RecordAt> records = new ArrayList<>();
+  private final RetainedRecords records = new RetainedRecords();
+  private final LogSwitches switches = new LogSwitches();
+  private final RateLimit rate = new RateLimit();
   private final List<Runnable> waiting = new ArrayList<>();
-  private final HttpServer server;
-
-  private LogStandin(EventLoopGroup loop, Address address) {
-    this.loop = loop;
-    this.server =
-        HttpServer.start(loop, address, MAX_HEADER_BYTES, this::handlers)
-            .value()
-            .orElseThrow(() -> new StandinException("log", address));
+  private final AtomicReference<AppendFault> fault =
+      new AtomicReference<>(record -> AppendFault.Effect.NONE);
+  private final StandinServer server;
+
+  private LogStandin(EventLoopGroup loops, Address address) {
+    this.server = StandinServer.start("log", loops, address, this::handle);
   }
 
   /**
    * Starts the stand-in.
    *
-   * @param loop group with one event loop, which will own the records
+   * @param loops event loops; one of them will own the records
    * @param address address to bind
    * @return the running stand-in
    */
-  public static LogStandin start(EventLoopGroup loop, Address address) {
-    return new LogStandin(loop, address);
+  public static LogStandin start(EventLoopGroup loops, Address address) {
+    return new LogStandin(loops, address);
   }
 
   /** Returns the address that callers use. */
@@ -57,69 +50,121 @@
     return server.address();
   }
 
+  /**
+   * Sets the function that decides what happens to each append.
+   *
+   * @param next called on the owner of the records
+   */
+  public void onAppend(AppendFault next) {
+    fault.set(next);
+  }
+
+  /**
+   * Sets faults; they are in force when the method returns.
+   *
+   * @param faults the faults
+   */
+  public void set(LogFaults faults) {
+    server.ask(
+        () -> {
+          switchOver(faults);
+          return true;
+        });
+  }
+
+  /**
+   * Returns the records that have not expired.
+   *
+   * @return the records in order
+   */
+  public List<RecordAt> records() {
+    return server.ask(records::all);
+  }
+
   @Override
   public void close() {
     server.close();
   }
 
-  private ChannelHandler[] handlers() {
-    return new ChannelHandler[] {new HttpObjectAggregator(MAX_BODY_BYTES), new Handler()};
+  private void handle(Call call) {
+    if (call.path().equals("/control/faults")) {
+      call.decode(
+          LogFaults.class,
+          faults -> {
+            switchOver(faults);
+            call.ok("set");
+          });
+      return;
+    }
+    if (!call.path().equals(RECORDS)) {
+      call.notFound();
+      return;
+    }
+    if (switches.isDown()) {
+      call.answer(HttpResponseStatus.SERVICE_UNAVAILABLE, "The log is down.");
+      return;
+    }
+    if (call.method().equals("POST")) {
+      call.decode(LogRecord.class, record -> append(call, record));
+      return;
+    }
+    expire();
+    read(call, call.number("from"), call.number("wait_ms"));
   }
 
-  private void append(ChannelHandlerContext ctx, FullHttpRequest request) {
-    Result<LogRecord> decoded =
-        Codec.json().decode(ByteBufUtil.getBytes(request.content()), LogRecord.class);
-    if (decoded.value().isEmpty()) {
-      String reason = decoded.failure().map(f -> f.message()).orElse("");
-      Answers.json(ctx, HttpResponseStatus.BAD_REQUEST, reason);
-      return;
+  private void switchOver(LogFaults faults) {
+    switches.set(faults);
+    if (switches.isDown()) {
+      waiting.clear();
+      server.severAll();
     }
-    long offset = records.size();
-    records.add(new RecordAt(offset, decoded.value().get()));
-    Answers.json(ctx, HttpResponseStatus.OK, new AppendAnswer(offset));
-    List<Runnable> woken = List.copyOf(waiting);
-    waiting.clear();
-    woken.forEach(Runnable::run);
   }
 
-  private void read(ChannelHandlerContext ctx, int from, long waitMs) {
-    if (from < records.size() || waitMs <= 0) {
-      answer(ctx, from);
+  private void append(Call call, LogRecord record) {
+    if (!rate.take(StandinServer.nowMs(), switches.appendsPerSecond())) {
+      call.answer(HttpResponseStatus.TOO_MANY_REQUESTS, "The rate limit is exceeded.");
+      return;
+    }
+    AppendFault.Effect chosen = fault.get().on(record);
+    AppendFault.Effect counted = switches.next();
+    if (chosen.copies() == 0) {
+      call.answer(HttpResponseStatus.SERVICE_UNAVAILABLE, "The log is down.");
       return;
     }
-    Runnable[] reader = new Runnable[1];
-    reader[0] = () -> answer(ctx, from);
-    waiting.add(reader[0]);
-    loop.next()
-        .schedule(
-            () -> {
-              if (waiting.remove(reader[0])) {
-                answer(ctx, from);
-              }
-            },
-            waitMs,
-            TimeUnit.MILLISECONDS);
+    long offset = records.append(record, StandinServer.nowMs());
+    for (int copy = 1; copy < Math.max(chosen.copies(), counted.copies()); copy++) {
+      records.append(record, StandinServer.nowMs());
+    }
+    expire();
+    wake();
+    boolean answered = chosen.answered() && counted.answered();
+    Runnable answer = answered ? () -> call.ok(new AppendAnswer(offset)) : call::sever;
+    server.runAfterMs(Math.max(chosen.delayMs(), counted.delayMs()), answer);
   }
 
-  private void answer(ChannelHandlerContext ctx, int from) {
-    int end = Math.min(records.size(), from + MAX_PAGE_RECORDS);
-    List<RecordAt> page = from < end ? List.copyOf(records.subList(from, end)) : List.of();
-    Answers.json(ctx, HttpResponseStatus.OK, new RecordsPage(0L, (long) records.size(), page));
+  private void read(Call call, long from, long waitMs) {
+    if (from < records.nextOffset() || waitMs <= 0) {
+      call.ok(records.page(from));
+      return;
+    }
+    Runnable reader = () -> call.ok(records.page(from));
+    waiting.add(reader);
+    server.runAfterMs(
+        waitMs,
+        () -> {
+          if (waiting.remove(reader)) {
+            reader.run();
+          }
+        });
   }
 
-  private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
-    @Override
-    protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-      if (request.method().equals(HttpMethod.POST)) {
-        append(ctx, request);
-        return;
-      }
-      QueryStringDecoder query = new QueryStringDecoder(request.uri());
-      read(ctx, (int) number(query, "from"), number(query, "wait_ms"));
-    }
+  private void wake() {
+    List<Runnable> woken = List.copyOf(waiting);
+    waiting.clear();
+    woken.forEach(Runnable::run);
+  }
 
-    private long number(QueryStringDecoder query, String name) {
-      return Long.parseLong(query.parameters().getOrDefault(name, List.of("0")).get(0));
-    }
+  private void expire() {
+    records.expire(switches.retainRecords(), switches.retainMs(), StandinServer.nowMs());
   }
 }
