--- /dev/null
+++ b/samphiregauge-standins/src/main/java/io/samphiregauge/standins/BackendOrders.java
@@ -0,0 +1,53 @@
+package io.samphiregauge.standins;
+
+import io.samphiregauge.schema.config.Backend;
+import io.samphiregauge.schema.platform.OrderAnswer;
+import io.samphiregauge.schema.platform.OrderRequest;
+import io.samphiregauge.schema.platform.OrderStatus;
+import io.samphiregauge.schema.standin.ReceivedOrder;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+
+/** Orders for backend servers; each idempotency key takes effect once. */
+final class BackendOrders {
+  private final Map<Long, List<Backend>> results = new HashMap<>();
+  private final List<ReceivedOrder> received = new ArrayList<>();
+  private long highestToken = -1;
+
+  /**
+   * Answers an order.
+   *
+   * @param apply applies the order; empty where that is impossible
+   */
+  OrderAnswer receive(OrderRequest request, Function<OrderRequest, Optional<List<Backend>>> apply) {
+    OrderAnswer answer = answer(request, apply);
+    received.add(
+        new ReceivedOrder(
+            StandinServer.nowMs(), request.getToken(), request.getOrder(), answer.getStatus()));
+    return answer;
+  }
+
+  List<ReceivedOrder> received() {
+    return List.copyOf(received);
+  }
+
+  private OrderAnswer answer(
+      OrderRequest request, Function<OrderRequest, Optional<List<Backend>>> apply) {
+    long token = request.getToken();
+    Optional<List<Backend>> earlier = Optional.ofNullable(results.get(token));
+    if (earlier.isPresent()) {
+      return new OrderAnswer(OrderStatus.REPEATED, highestToken, earlier.get());
+    }
+    Optional<List<Backend>> result = apply.apply(request);
+    if (result.isEmpty()) {
+      return new OrderAnswer(OrderStatus.UNAVAILABLE, highestToken, List.of());
+    }
+    results.put(token, result.get());
+    highestToken = Math.max(highestToken, token);
+    return new OrderAnswer(OrderStatus.APPLIED, highestToken, result.get());
+  }
+}
