--- /dev/null
+++ b/samphiregauge-bench/src/main/java/io/samphiregauge/bench/MessageSizes.java
@@ -0,0 +1,104 @@
+package io.samphiregauge.bench;
+
+import io.samphiregauge.net.Codec;
+import io.samphiregauge.schema.peer.LoadDigest;
+import io.samphiregauge.schema.peer.Member;
+import io.samphiregauge.schema.peer.MemberExchange;
+import io.samphiregauge.schema.peer.MemberState;
+import io.samphiregauge.schema.peer.Probe;
+import io.samphiregauge.schema.peer.SuspicionNotice;
+import io.samphiregauge.schema.peer.TeamLoad;
+import io.samphiregauge.schema.peer.UsageCopy;
+import io.samphiregauge.schema.peer.UsageCounter;
+import io.samphiregauge.schema.record.Incarnation;
+import io.samphiregauge.schema.record.UsageFigure;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.List;
+import java.util.function.IntFunction;
+import java.util.stream.IntStream;
+
+/** Prints the encoded size of messages between entries at three sizes, and the slope per item. */
+public final class MessageSizes {
+  private static final Logger LOG = System.getLogger(MessageSizes.class.getName());
+  private static final int SMALL = 8;
+  private static final int MIDDLE = 64;
+  private static final int LARGE = 560;
+
+  private MessageSizes() {}
+
+  /**
+   * Runs the measurement.
+   *
+   * @param args not used
+   */
+  public static void main(String[] args) {
+    print("probe_with_updates", n -> new Probe(1L, member(0), members(n)));
+    print("member_exchange", n -> new MemberExchange(member(0), members(n), false));
+    print("usage_copy", n -> new UsageCopy(process(0), 1L, list(n, MessageSizes::counter)));
+    print("load_digest", n -> new LoadDigest(process(0), 1L, list(n, MessageSizes::teamLoad)));
+    print("suspicion_notice", MessageSizes::notice);
+  }
+
+  private static void print(String name, IntFunction<Object> message) {
+    int small = bytes(message.apply(SMALL));
+    int middle = bytes(message.apply(MIDDLE));
+    int large = bytes(message.apply(LARGE));
+    LOG.log(
+        Level.INFO,
+        "message={0} bytes_at_{1}={2} bytes_at_{3}={4} bytes_at_{5}={6} bytes_per_item={7}",
+        name,
+        SMALL,
+        small,
+        MIDDLE,
+        middle,
+        LARGE,
+        large,
+        (large - small) / (LARGE - SMALL));
+  }
+
+  private static int bytes(Object message) {
+    return Codec.messagePack().encode(message).length;
+  }
+
+  private static <T> List<T> list(int count, IntFunction<T> item) {
+    return IntStream.range(0, count).mapToObj(item).toList();
+  }
+
+  private static List<Member> members(int count) {
+    return list(count, MessageSizes::member);
+  }
+
+  private static Incarnation process(int index) {
+    return new Incarnation("vm-" + index, 1_790_000_000_000L + index, 0x1234_5678_9abc_def0L);
+  }
+
+  private static Member member(int index) {
+    return new Member(
+        process(index),
+        "th-central",
+        "th-central-a",
+        "10.20.30.40:8080",
+        "10.20.30.40:9090",
+        MemberState.ALIVE,
+        3L,
+        123_456L,
+        250L);
+  }
+
+  private static UsageCounter counter(int index) {
+    return new UsageCounter(
+        29_833_333L,
+        new UsageFigure(
+            "temple-network-" + index, "assistant-large", 93L, 111_600L, 7_440L, 223_200L));
+  }
+
+  private static TeamLoad teamLoad(int index) {
+    return new TeamLoad("temple-network-" + index, 12.5, 8, 1_234_567.5, 223_200L);
+  }
+
+  private static SuspicionNotice notice(int count) {
+    List<String> digests = list(count, i -> "0123456789abcdef0123456789abcdef%032x".formatted(i));
+    return new SuspicionNotice(1L, "engine-1", digests, List.of(), List.of());
+  }
+}
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/Codec.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/Codec.java
@@ -1,11 +1,15 @@
 package io.samphiregauge.net;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.introspect.Annotated;
+import com.fasterxml.jackson.databind.introspect.AnnotatedClass;
+import com.fasterxml.jackson.databind.introspect.JacksonAnnotationIntrospector;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.jsontype.NamedType;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
@@ -46,6 +50,8 @@
 import io.samphiregauge.schema.record.UsageSealed;
 import java.io.IOException;
 import java.util.List;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 /**
@@ -91,13 +97,16 @@
           SuspicionAck.class,
           LoadDigest.class);
 
-  private static final Codec JSON = new Codec(JsonMapper.builder().build());
-  private static final Codec MESSAGE_PACK = new Codec(new ObjectMapper(new MessagePackFactory()));
+  private static final Codec JSON = new Codec(JsonMapper.builder().build(), bytes -> {});
+  private static final Codec MESSAGE_PACK =
+      new Codec(compact(new MessagePackFactory()), Codec::checkLengths);
 
   private final ObjectMapper mapper;
+  private final FormatCheck check;
 
-  private Codec(ObjectMapper mapper) {
+  private Codec(ObjectMapper mapper, FormatCheck check) {
     this.mapper = mapper;
+    this.check = check;
     mapper.registerModule(new Jdk8Module());
     mapper.enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
     mapper.enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
@@ -108,6 +117,49 @@
     KINDS.forEach(kind -> mapper.registerSubtypes(new NamedType(kind, kind.getSimpleName())));
   }
 
+  /** Looks through the bytes of a message before they are decoded. */
+  @FunctionalInterface
+  private interface FormatCheck {
+    void check(byte[] bytes) throws IOException;
+  }
+
+  /**
+   * Fails where a length reaches past the end of the bytes; the decoder would allocate that length
+   * first, and a message of six bytes could exhaust the heap.
+   */
+  private static void checkLengths(byte[] bytes) throws IOException {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+      unpacker.skipValue();
+    }
+  }
+
+  /** Writes objects as arrays; field names took more than half of the bytes of a usage copy. */
+  private static ObjectMapper compact(MessagePackFactory factory) {
+    ObjectMapper mapper = new ObjectMapper(factory);
+    mapper.setDefaultPropertyInclusion(JsonInclude.Include.ALWAYS);
+    mapper.setAnnotationIntrospector(new ArrayShape());
+    return mapper;
+  }
+
+  /** Gives each generated class the shape of an array, in the order of its schema. */
+  private static final class ArrayShape extends JacksonAnnotationIntrospector {
+    private static final long serialVersionUID = 1L;
+    private static final String SCHEMA_PACKAGE = RecordBody.class.getPackageName();
+
+    @Override
+    public JsonFormat.Value findFormat(Annotated annotated) {
+      Class<?> type = annotated.getRawType();
+      boolean generated = annotated instanceof AnnotatedClass && isGenerated(type);
+      return generated
+          ? JsonFormat.Value.forShape(JsonFormat.Shape.ARRAY)
+          : super.findFormat(annotated);
+    }
+
+    private static boolean isGenerated(Class<?> type) {
+      return type.getPackageName().startsWith(SCHEMA_PACKAGE) && !type.isEnum();
+    }
+  }
+
   /** Writes the name of the class into the field {@code kind}. */
   @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "kind")
   private interface Kinded {}
@@ -153,10 +205,10 @@
    */
   public <T> Result<T> decode(byte[] bytes, Class<T> type) {
     try {
+      check.check(bytes);
       return Result.success(mapper.readValue(bytes, type));
-    } catch (IOException e) {
-      return Result.failed(NetFailure.BadMessage.of(type.getSimpleName(), e));
-    } catch (IllegalArgumentException e) {
+    } catch (IOException | RuntimeException e) {
+      // The MessagePack library reports truncated input with unchecked exceptions.
       return Result.failed(NetFailure.BadMessage.of(type.getSimpleName(), e));
     }
   }
