--- /dev/null
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/suspect/SuspicionTest.java
@@ -0,0 +1,219 @@
+package io.samphiregauge.core.suspect;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.samphiregauge.core.suspect.SuspicionAction.CallersMayBeAnswered;
+import io.samphiregauge.core.suspect.SuspicionAction.CheckEngines;
+import io.samphiregauge.core.suspect.SuspicionAction.IsolationGranted;
+import io.samphiregauge.core.suspect.SuspicionAction.IsolationRefused;
+import io.samphiregauge.core.suspect.SuspicionAction.Send;
+import io.samphiregauge.schema.peer.SuspicionAck;
+import io.samphiregauge.schema.peer.SuspicionNotice;
+import io.samphiregauge.schema.record.Incarnation;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class SuspicionTest {
+  private static final Incarnation A = new Incarnation("a", 1, 1);
+  private static final Incarnation B = new Incarnation("b", 1, 1);
+  private static final Incarnation C = new Incarnation("c", 1, 1);
+  private static final List<Incarnation> ALL = List.of(A, B, C);
+
+  private final Map<String, SuspicionState> states = new TreeMap<>();
+  private final Set<Incarnation> cutOff = new HashSet<>();
+  private final Set<String> busyAtC = new HashSet<>();
+  private final List<SuspicionAction> seen = new ArrayList<>();
+  private long nowMs;
+
+  @BeforeEach
+  void startThreeEntries() {
+    ALL.forEach(member -> states.put(member.getVm(), SuspicionState.initial(member)));
+    for (Incarnation member : ALL) {
+      Set<Incarnation> others = new HashSet<>(ALL);
+      others.remove(member);
+      happen(member, new SuspicionEvent.LiveMembers(others));
+    }
+    seen.clear();
+  }
+
+  /** Guards against a caller that reaches an entry that does not know of the crash. */
+  @Test
+  void callersAreAnsweredAfterAllEntriesKnowTheSuspects() {
+    happen(A, new SuspicionEvent.Crashed("e1", List.of("f", "g")));
+    assertThat(seen).contains(new CallersMayBeAnswered("e1", List.of("f", "g"), true));
+    assertThat(view(C).standing("f")).isEqualTo(Standing.SUSPECT);
+    assertThat(view(C).mayStart("f", "e2")).isFalse();
+  }
+
+  /** Guards against a caller that waits for an entry that cannot be reached. */
+  @Test
+  void callersAreAnsweredAfterTwoHundredMilliseconds() {
+    cutOff.add(C);
+    happen(A, new SuspicionEvent.Crashed("e1", List.of("f")));
+    tick(A, 199);
+    assertThat(seen).doesNotHaveAnyElementsOfTypes(CallersMayBeAnswered.class);
+    tick(A, 200);
+    assertThat(seen).contains(new CallersMayBeAnswered("e1", List.of("f"), false));
+    cutOff.clear();
+    tick(A, 300);
+    assertThat(view(C).standing("f")).isEqualTo(Standing.SUSPECT);
+  }
+
+  /** Guards against a third crash by one request, and against refusing its neighbours. */
+  @Test
+  void aSuspectThatCrashesItsReservedEngineIsCondemnedEverywhere() {
+    happen(A, new SuspicionEvent.Crashed("e1", List.of("f", "g")));
+    happen(B, new SuspicionEvent.IsolationWanted("f", List.of("e2")));
+    assertThat(seen).contains(new IsolationGranted("f", "e2"));
+    assertThat(view(B).mayStart("f", "e2")).isTrue();
+    assertThat(view(C).mayStart("new", "e2")).isFalse();
+    happen(B, new SuspicionEvent.Crashed("e2", List.of("f", "proven")));
+    assertThat(view(A).standing("f")).isEqualTo(Standing.CONDEMNED);
+    assertThat(view(A).standing("g")).isEqualTo(Standing.SUSPECT);
+    assertThat(view(A).standing("proven")).isEqualTo(Standing.SUSPECT);
+    assertThat(view(C).mayStart("new", "e2")).isTrue();
+    happen(C, new SuspicionEvent.Finished("f", true));
+    assertThat(view(C).standing("f")).isEqualTo(Standing.CONDEMNED);
+  }
+
+  /** Guards against a suspect that stays slow after it has proven harmless. */
+  @Test
+  void aSuspectThatFinishesIsClearedEverywhere() {
+    happen(A, new SuspicionEvent.Crashed("e1", List.of("g")));
+    happen(A, new SuspicionEvent.IsolationWanted("g", List.of("e2")));
+    happen(A, new SuspicionEvent.Finished("g", true));
+    assertThat(view(B).standing("g")).isEqualTo(Standing.CLEAR);
+    assertThat(view(C).mayStart("new", "e2")).isTrue();
+  }
+
+  /** Guards against a delayed notice that raises a suspicion again. */
+  @Test
+  void anOlderNoticeDoesNotUndoALaterOne() {
+    SuspicionNotice clear = new SuspicionNotice(6, "", List.of(), List.of("g"), List.of());
+    SuspicionNotice crash = new SuspicionNotice(5, "e1", List.of("g"), List.of(), List.of());
+    happen(B, new SuspicionEvent.NoticeReceived(A, clear));
+    happen(B, new SuspicionEvent.NoticeReceived(A, crash));
+    assertThat(view(B).standing("g")).isEqualTo(Standing.CLEAR);
+  }
+
+  /** Guards against blaming a suspect for a crash by another entry's unproven request. */
+  @Test
+  void aSuspectWaitsUntilNoEntryHasAnUnprovenRequestOnTheEngine() {
+    happen(A, new SuspicionEvent.Crashed("e1", List.of("f")));
+    busyAtC.add("e2");
+    happen(A, new SuspicionEvent.IsolationWanted("f", List.of("e2")));
+    tick(A, 100);
+    assertThat(view(A).mayStart("f", "e2")).isFalse();
+    busyAtC.clear();
+    tick(A, 200);
+    assertThat(view(A).mayStart("f", "e2")).isTrue();
+  }
+
+  /** Guards against two suspects on one engine when two entries reserve it at once. */
+  @Test
+  void oneOfTwoEntriesGetsAnEngine() {
+    happen(A, new SuspicionEvent.Crashed("e1", List.of("f", "g")));
+    cutOff.addAll(ALL);
+    happen(A, new SuspicionEvent.IsolationWanted("f", List.of("e2")));
+    happen(B, new SuspicionEvent.IsolationWanted("g", List.of("e2")));
+    cutOff.clear();
+    seen.clear();
+    tick(B, 100);
+    tick(A, 200);
+    tick(A, 300);
+    assertThat(seen).contains(new IsolationGranted("f", "e2"), new IsolationRefused("g"));
+    assertThat(view(B).mayStart("g", "e2")).isFalse();
+  }
+
+  /** Guards against counting one crash twice when two entries had the same request there. */
+  @Test
+  void twoEntriesThatSeeOneCrashDoNotCondemn() {
+    happen(A, new SuspicionEvent.Crashed("e1", List.of("f")));
+    happen(B, new SuspicionEvent.Crashed("e1", List.of("f")));
+    assertThat(view(C).standing("f")).isEqualTo(Standing.SUSPECT);
+  }
+
+  /** Guards against an entry that starts after the crashes and knows nothing of them. */
+  @Test
+  void aNewMemberLearnsAllSuspicions() {
+    happen(A, new SuspicionEvent.Crashed("e1", List.of("f")));
+    Incarnation next = new Incarnation("c", 2, 2);
+    states.put("c", SuspicionState.initial(next));
+    happen(next, new SuspicionEvent.LiveMembers(Set.of(A, B)));
+    assertThat(view(next).synced()).isFalse();
+    happen(A, new SuspicionEvent.LiveMembers(Set.of(B, next)));
+    happen(B, new SuspicionEvent.LiveMembers(Set.of(A, next)));
+    assertThat(view(next).synced()).isTrue();
+    assertThat(view(next).standing("f")).isEqualTo(Standing.SUSPECT);
+  }
+
+  /** Guards against memory that grows with the number of crashes. */
+  @Test
+  void oldSuspectsAreDropped() {
+    List<String> many = IntStream.range(0, 9_000).mapToObj(Integer::toString).toList();
+    happen(A, new SuspicionEvent.Crashed("e1", many));
+    assertThat(states.get("a").size()).isEqualTo(SuspicionLimits.MAX_FINGERPRINTS);
+    tick(A, SuspicionLimits.KEEP_SUSPECT_MS + 1);
+    assertThat(states.get("a").size()).isZero();
+  }
+
+  /** Guards against two requests with one fingerprint. */
+  @Test
+  void fingerprintsSeparateTeamRouteAndBody() {
+    byte[] body = "x".getBytes(StandardCharsets.UTF_8);
+    assertThat(Fingerprint.of("ab", "c", body)).isNotEqualTo(Fingerprint.of("a", "bc", body));
+  }
+
+  private SuspicionView view(Incarnation member) {
+    return states.get(member.getVm()).view();
+  }
+
+  private void tick(Incarnation member, long atMs) {
+    nowMs = atMs;
+    happen(member, new SuspicionEvent.Tick());
+  }
+
+  private record Delivery(Incarnation to, SuspicionEvent event) {}
+
+  /** Applies an event and everything that follows from it at once. */
+  private void happen(Incarnation member, SuspicionEvent event) {
+    Queue<Delivery> queue = new ArrayDeque<>(List.of(new Delivery(member, event)));
+    while (!queue.isEmpty()) {
+      Delivery next = queue.remove();
+      SuspicionState state = states.get(next.to().getVm());
+      SuspicionStep step = Suspicion.apply(state, next.event(), nowMs);
+      states.put(next.to().getVm(), step.state());
+      seen.addAll(step.actions());
+      step.actions().forEach(action -> follow(next.to(), action, queue));
+    }
+  }
+
+  private void follow(Incarnation from, SuspicionAction action, Queue<Delivery> queue) {
+    if (action instanceof CheckEngines check) {
+      List<String> busy =
+          check.engines().stream().filter(e -> from.equals(C) && busyAtC.contains(e)).toList();
+      queue.add(
+          new Delivery(
+              from, new SuspicionEvent.EnginesChecked(check.reservedBy(), check.number(), busy)));
+    }
+    if (!(action instanceof Send send) || cutOff.contains(send.to()) || cutOff.contains(from)) {
+      return;
+    }
+    if (send.message() instanceof SuspicionNotice notice) {
+      queue.add(new Delivery(send.to(), new SuspicionEvent.NoticeReceived(from, notice)));
+    }
+    if (send.message() instanceof SuspicionAck ack) {
+      queue.add(new Delivery(send.to(), new SuspicionEvent.AckReceived(from, ack)));
+    }
+  }
+}
