Use the common step type in the suspicion machine

The coordination machines brought io.samphiregauge.core.Step, so the suspicion machine needs no step type of its own.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/Suspicion.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/Suspicion.java
@@ -1,5 +1,6 @@
 package io.samphiregauge.core.suspect;
 
+import io.samphiregauge.core.Step;
 import io.samphiregauge.schema.peer.SuspicionAck;
 import io.samphiregauge.schema.peer.SuspicionNotice;
 import io.samphiregauge.schema.record.Incarnation;
@@ -14,7 +15,7 @@
  * Decides which requests are suspected of crashing engines and where they may run.
  *
  * <pre>{@code
- * SuspicionStep step = Suspicion.apply(state, new SuspicionEvent.Crashed(engine, digests), nowMs);
+ * var step = Suspicion.apply(state, new SuspicionEvent.Crashed(engine, digests), nowMs);
  * }</pre>
  */
 public final class Suspicion {
@@ -28,10 +29,11 @@
    * @param nowMs time on the clock of the process
    * @return the state after it and what is to be done
    */
-  public static SuspicionStep apply(SuspicionState state, SuspicionEvent event, long nowMs) {
+  public static Step<SuspicionState, SuspicionAction> apply(
+      SuspicionState state, SuspicionEvent event, long nowMs) {
     List<SuspicionAction> actions = new ArrayList<>();
     SuspicionState next = Isolation.grant(react(state, event, nowMs, actions), actions);
-    return new SuspicionStep(next, List.copyOf(actions));
+    return new Step<>(next, actions);
   }
 
   private static SuspicionState react(
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/suspect/SuspicionTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/suspect/SuspicionTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.samphiregauge.core.Step;
 import io.samphiregauge.core.suspect.SuspicionAction.CallersMayBeAnswered;
 import io.samphiregauge.core.suspect.SuspicionAction.CheckEngines;
 import io.samphiregauge.core.suspect.SuspicionAction.IsolationGranted;
@@ -191,7 +192,7 @@
     while (!queue.isEmpty()) {
       Delivery next = queue.remove();
       SuspicionState state = states.get(next.to().getVm());
-      SuspicionStep step = Suspicion.apply(state, next.event(), nowMs);
+      Step<SuspicionState, SuspicionAction> step = Suspicion.apply(state, next.event(), nowMs);
       states.put(next.to().getVm(), step.state());
       seen.addAll(step.actions());
       step.actions().forEach(action -> follow(next.to(), action, queue));
