--- a/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/traffic/CallReader.java
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/traffic/CallReader.java
@@ -38,11 +38,11 @@
                 .flatMap(
                     model ->
                         Admission.mayUseModel(known, model)
-                            .flatMap(
-                                t -> call(request, body, engineRoute(t, model, body), nowMs))));
+                            .map(allowed -> engineRoute(allowed, model, body)))
+                .flatMap(route -> call(request, request.uri(), body, route, nowMs)));
   }
 
-  /** Reads a request for a plain service. */
+  /** Reads a request for a plain service, which sees only the part of the path below its name. */
   static Result<Call> service(FullHttpRequest request, String path, TrafficView view, long nowMs) {
     String rest = path.substring(SERVICES.length());
     int slash = rest.indexOf('/');
@@ -63,7 +63,8 @@
         .flatMap(
             team -> {
               ByteBuf body = Unpooled.copiedBuffer(request.content());
-              return call(request, body, serviceRoute(team, service.get(), below), nowMs);
+              String uri = "/" + below + request.uri().substring(path.length());
+              return call(request, uri, body, serviceRoute(team, service.get(), below), nowMs);
             });
   }
 
@@ -93,13 +94,13 @@
   }
 
   private static Result<Call> call(
-      FullHttpRequest request, ByteBuf body, RouteRequest route, long nowMs) {
+      FullHttpRequest request, String uri, ByteBuf body, RouteRequest route, long nowMs) {
     Result<OptionalLong> deadline = CallerHeaders.deadlineMs(request.headers(), nowMs);
     return deadline.map(
         atMs ->
             new Call(
                 request.method(),
-                request.uri(),
+                uri,
                 CallerHeaders.forBackend(request.headers()),
                 body,
                 route,
--- a/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/traffic/CallerHandler.java
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/traffic/CallerHandler.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -91,7 +92,8 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-    if (!(cause instanceof IOException)) {
+    // A caller may reset its connection, or leave in the middle of a body.
+    if (!(cause instanceof IOException) && !(cause instanceof CodecException)) {
       LOG.log(Level.ERROR, "event=caller_failed answering=" + answering, cause);
     }
     ctx.close();
--- a/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/traffic/CallerHeaders.java
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/traffic/CallerHeaders.java
@@ -5,7 +5,6 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.samphiregauge.core.result.Result;
-import io.samphiregauge.core.ticket.Ticket;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -25,7 +24,7 @@
   private static final long MAX_DEADLINE_MS = 86_400_000;
   private static final List<CharSequence> KEY =
       List.of(HttpHeaderNames.AUTHORIZATION, HttpHeaderNames.PROXY_AUTHORIZATION);
-  private static final List<CharSequence> OWN = List.of(DEADLINE, FORWARDED, Ticket.HEADER);
+  private static final List<CharSequence> OWN = List.of(DEADLINE, FORWARDED);
   private static final List<CharSequence> CONNECTION =
       List.of(
           HttpHeaderNames.CONNECTION,
@@ -45,7 +44,10 @@
     return Optional.ofNullable(headers.get(name));
   }
 
-  /** Returns what a backend server may see: neither the key nor headers of this entry. */
+  /**
+   * Returns what a backend server may see: neither the key nor headers for entries. The ticket goes
+   * along, since a service may use it as idempotency key.
+   */
   static HttpHeaders forBackend(HttpHeaders from) {
     HttpHeaders headers = forEntry(from);
     KEY.forEach(headers::remove);
--- a/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/traffic/Exchange.java
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/traffic/Exchange.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
@@ -32,6 +33,7 @@
  * of it happens on one event loop.
  */
 final class Exchange {
+  private static final int FIRST_BACKOFF_MS = 10;
   // A call that failed on this many backend servers is likely to fail on the next one too.
   private static final int MAX_ATTEMPTS = 4;
 
@@ -45,6 +47,7 @@
   private Optional<EventStream> stream = Optional.empty();
   private boolean reading = true;
   private boolean dispatched;
+  private boolean dispatchedBefore;
   private boolean answering;
   private boolean over;
   private int countedTokens;
@@ -164,6 +167,7 @@
       endWithoutDispatch();
       return;
     }
+    dispatchedBefore = dispatched;
     dispatched = true;
     connection = Optional.of(open);
     open.send(
@@ -217,6 +221,13 @@
       checkResumed(head);
       return;
     }
+    if (call.isForEngine() && head.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+      // The protocol of engines: the call had no effect.
+      dispatched = dispatchedBefore;
+      leaveBackend().ifPresent(HttpConnection::abandon);
+      retryOrFail(EntryFailure.notRun(503, "engine_unavailable", "The engine takes no request."));
+      return;
+    }
     answering = true;
     if (EventStreams.isFollowed(call, head)) {
       // The length may change when another engine continues the stream.
@@ -303,7 +314,7 @@
     boolean safe = !dispatched || call.route().idempotent();
     if (safe && tried.size() < MAX_ATTEMPTS && loop.retries().take()) {
       loop.shared().metrics().countRetry();
-      attempt();
+      attemptLater();
       return;
     }
     refuse(502, failure.type(), failure.message());
@@ -327,6 +338,13 @@
     attempt();
   }
 
+  /** Waits longer after each attempt, at random, so that retries do not arrive together. */
+  private void attemptLater() {
+    int maxMs = FIRST_BACKOFF_MS << tried.size();
+    int waitMs = loop.random().nextIndex(maxMs);
+    loop.eventLoop().schedule(this::attempt, waitMs, TimeUnit.MILLISECONDS);
+  }
+
   private void refuse(int status, String type, String message) {
     EntryFailure failure =
         dispatched
--- a/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/traffic/TrafficLoop.java
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/traffic/TrafficLoop.java
@@ -1,6 +1,7 @@
 package io.samphiregauge.daemon.traffic;
 
 import io.netty.channel.EventLoop;
+import io.samphiregauge.core.RandomSource;
 import io.samphiregauge.core.ticket.TicketBook;
 import io.samphiregauge.core.ticket.TicketReply;
 import io.samphiregauge.net.HttpPool;
@@ -14,6 +15,7 @@
  * @param shared what all event loops share
  * @param pool connections to backend servers
  * @param router choice of backend servers
+ * @param random jitter of retries
  * @param retries budget of retries
  * @param tickets tickets that this event loop owns
  */
@@ -23,5 +25,6 @@
     Shared shared,
     HttpPool pool,
     Router router,
+    RandomSource random,
     RetryBudget retries,
     TicketBook<Consumer<TicketReply>> tickets) {}
--- a/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/traffic/TrafficServer.java
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/traffic/TrafficServer.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.agrona.CloseHelper;
@@ -140,6 +141,7 @@
               shared,
               new HttpPool(eventLoop),
               router,
+              () -> ThreadLocalRandom.current().nextLong(),
               new RetryBudget(),
               book(parts, states.size(), eventLoops.size()));
       states.add(state);
--- /dev/null
+++ b/samphiregauge-daemon/src/test/java/io/samphiregauge/daemon/traffic/EventStreamTest.java
@@ -0,0 +1,76 @@
+package io.samphiregauge.daemon.traffic;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+/** Guards against lost, repeated or split tokens where a stream changes engines. */
+class EventStreamTest {
+  @Property(tries = 500)
+  void passesEachByteOnceWhereverTheStreamIsCut(
+      @ForAll @IntRange(max = 40) int tokens, @ForAll long seed) {
+    Random random = new Random(seed);
+    String whole = stream(0, tokens, random.nextBoolean() ? "\n\n" : "\r\n\r\n");
+    String end = whole.contains("\r") ? "\r\n\r\n" : "\n\n";
+    EventStream events = new EventStream();
+    StringBuilder passed = new StringBuilder();
+    int crashAt = random.nextInt(whole.length() + 1);
+    feed(events, whole.substring(0, crashAt), random, passed);
+    events.dropPartial();
+    int next = events.sent().orElseThrow().tokens();
+    // An engine may repeat tokens that the caller has already.
+    int from = next == 0 ? 0 : next - random.nextInt(next);
+    if (!events.isDone()) {
+      feed(events, stream(from, tokens, end), random, passed);
+    }
+    assertThat(passed.toString()).isEqualTo(whole);
+    assertThat(events.hasGap()).isFalse();
+    assertThat(events.tokens()).isEqualTo(tokens);
+  }
+
+  @Test
+  void noticesATokenThatAnEngineSkipped() {
+    EventStream events = new EventStream();
+    StringBuilder passed = new StringBuilder();
+    feed(events, stream(0, 3, "\n\n").replace("data: [DONE]\n\n", ""), new Random(1), passed);
+    feed(events, stream(4, 6, "\n\n"), new Random(1), passed);
+    assertThat(events.hasGap()).isTrue();
+    assertThat(passed).doesNotContain("t4");
+  }
+
+  @Test
+  void passesEventsWithoutNumbersButDoesNotContinueThem() {
+    String other = "data: {\"choices\":[]}\n\n: comment\n\ndata: [DONE]\n\n";
+    EventStream events = new EventStream();
+    StringBuilder passed = new StringBuilder();
+    feed(events, other, new Random(1), passed);
+    assertThat(passed.toString()).isEqualTo(other);
+    assertThat(events.sent()).isEmpty();
+  }
+
+  private static String stream(int from, int tokens, String end) {
+    StringBuilder text = new StringBuilder();
+    for (int i = from; i < tokens; i++) {
+      text.append("data: {\"index\":%d,\"text\":\"t%d \"}".formatted(i, i)).append(end);
+    }
+    return text.append("data: [DONE]").append(end).toString();
+  }
+
+  private static void feed(EventStream events, String text, Random random, StringBuilder passed) {
+    for (int at = 0; at < text.length(); ) {
+      int end = Math.min(text.length(), at + 1 + random.nextInt(50));
+      byte[] part = text.substring(at, end).getBytes(StandardCharsets.UTF_8);
+      ByteBuf taken = events.take(Unpooled.wrappedBuffer(part));
+      passed.append(taken.toString(StandardCharsets.UTF_8));
+      taken.release();
+      at = end;
+    }
+  }
+}
--- /dev/null
+++ b/samphiregauge-daemon/src/test/java/io/samphiregauge/daemon/traffic/ResumeTest.java
@@ -0,0 +1,111 @@
+package io.samphiregauge.daemon.traffic;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.samphiregauge.schema.standin.EngineFaults;
+import io.samphiregauge.schema.standin.EngineRecord;
+import io.samphiregauge.schema.standin.StreamEnding;
+import io.samphiregauge.standins.EngineStandin;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against gaps and repeats in a stream whose engine crashed. */
+class ResumeTest {
+  private static final int TOKENS = 200;
+  private static final int MAX_CHECKS = 10_000;
+  private static final String BODY =
+      "{\"model\":\"m1\",\"user\":\"u1\",\"prompt\":\"p\",\"max_tokens\":" + TOKENS + "}";
+
+  private final NioEventLoopGroup loops = new NioEventLoopGroup(2);
+  private EngineStandin first;
+  private EngineStandin second;
+  private TestEntry entry;
+
+  @BeforeEach
+  void start() {
+    first = EngineStandin.start(loops, TestEntry.ANY, 2);
+    second = EngineStandin.start(loops, TestEntry.ANY, 2);
+    entry =
+        new TestEntry(
+            "vm1",
+            1,
+            5_000,
+            List.of(
+                TestEntry.engine("e1", first.address()), TestEntry.engine("e2", second.address())));
+  }
+
+  @AfterEach
+  void stop() {
+    entry.close();
+    first.close();
+    second.close();
+    loops.shutdownGracefully();
+  }
+
+  @Test
+  void continuesTheStreamOnAnotherEngineByteForByte() throws Exception {
+    String undisturbed;
+    try (RawCaller caller = entry.caller()) {
+      undisturbed = caller.complete(BODY).body();
+    }
+    try (RawCaller caller = entry.caller()) {
+      CompletableFuture<RawCaller.Answer> answer =
+          CompletableFuture.supplyAsync(() -> caller.complete(BODY));
+      EngineStandin running = awaitTokens(10);
+      running.crash();
+      assertThat(answer.get().whole()).isTrue();
+      assertThat(answer.get().body()).isEqualTo(undisturbed);
+    }
+    assertThat(entry.server.metrics().count("resumed_streams")).isEqualTo(1);
+    EngineRecord other = resumed();
+    assertThat(other.getRequests().get(other.getRequests().size() - 1).getResumeFromToken())
+        .isPositive();
+    assertThat(entry.outputTokens.get()).isEqualTo(2 * TOKENS);
+  }
+
+  @Test
+  void showsThatAStreamIsNotWholeWhenNoEngineIsLeft() throws Exception {
+    try (RawCaller caller = entry.caller()) {
+      CompletableFuture<RawCaller.Answer> answer =
+          CompletableFuture.supplyAsync(() -> caller.complete(BODY));
+      awaitTokens(10);
+      first.crash();
+      second.crash();
+      assertThat(answer.get().whole()).isFalse();
+      assertThat(answer.get().body()).contains("event: error", "outcome_unknown");
+    }
+  }
+
+  @Test
+  void runsOnAnotherEngineWhenTheFirstCrashesBeforeItAnswers() {
+    first.set(new EngineFaults(true, null, null, null, null, null, null, null));
+    try (RawCaller caller = entry.caller()) {
+      RawCaller.Answer answer = caller.complete(BODY);
+      assertThat(answer.status()).isEqualTo(200);
+      assertThat(answer.body()).endsWith("data: [DONE]\n\n");
+    }
+    assertThat(second.record().getRequests()).hasSize(1);
+  }
+
+  /** Waits until the entry has passed on some tokens of the running stream. */
+  private EngineStandin awaitTokens(int tokens) throws InterruptedException {
+    long before = entry.outputTokens.get();
+    for (int i = 0; i < MAX_CHECKS && entry.outputTokens.get() < before + tokens; i++) {
+      Thread.sleep(1);
+    }
+    return isRunning(first) ? first : second;
+  }
+
+  private static boolean isRunning(EngineStandin engine) {
+    return engine.record().getRequests().stream()
+        .anyMatch(r -> r.getEnding() == StreamEnding.RUNNING);
+  }
+
+  private EngineRecord resumed() {
+    return first.record().getCrashes() > 0 ? second.record() : first.record();
+  }
+}
--- /dev/null
+++ b/samphiregauge-daemon/src/test/java/io/samphiregauge/daemon/traffic/TestEntry.java
@@ -0,0 +1,151 @@
+package io.samphiregauge.daemon.traffic;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.samphiregauge.core.Clock;
+import io.samphiregauge.core.config.ConfigView;
+import io.samphiregauge.core.config.KeyDigest;
+import io.samphiregauge.core.log.FoldedState;
+import io.samphiregauge.core.route.RoutingPolicies;
+import io.samphiregauge.net.Address;
+import io.samphiregauge.schema.config.Backend;
+import io.samphiregauge.schema.config.BackendKind;
+import io.samphiregauge.schema.config.Configuration;
+import io.samphiregauge.schema.config.Model;
+import io.samphiregauge.schema.config.Service;
+import io.samphiregauge.schema.config.Settings;
+import io.samphiregauge.schema.config.Team;
+import io.samphiregauge.schema.record.Incarnation;
+import io.samphiregauge.schema.record.Joined;
+import io.samphiregauge.schema.record.ProcessState;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+
+/** A traffic server whose control state is set by the test. */
+final class TestEntry implements AutoCloseable {
+  static final Address ANY = new Address("127.0.0.1", 0);
+  static final String KEY = "secret";
+  static final Clock CLOCK = () -> System.nanoTime() / 1_000_000;
+
+  final AtomicReference<TrafficView> view = new AtomicReference<>();
+  final AtomicLong outputTokens = new AtomicLong();
+  final Incarnation self;
+  final TrafficServer server;
+  private final EventLoopGroup loops;
+
+  TestEntry(String vm, int threads, int keepMs, List<Backend> backends) {
+    this.loops = new NioEventLoopGroup(threads);
+    this.self = new Incarnation(vm, 1L, 1L);
+    configure(List.of(KEY), backends);
+    TrafficParts parts =
+        new TrafficParts(
+            settings(vm, threads, keepMs),
+            CLOCK,
+            self,
+            view::get,
+            RoutingPolicies.leastLoad(),
+            (team, model, prompt, output) -> outputTokens.addAndGet(output),
+            (backend, fingerprint, next) -> next.run());
+    this.server = TrafficServer.start(loops, ANY, parts).value().orElseThrow();
+    join(List.of(this));
+  }
+
+  /** Sets the keys of the only team, and the backend servers. */
+  void configure(List<String> keys, List<Backend> backends) {
+    List<String> digests = keys.stream().map(KeyDigest::of).toList();
+    Team team = new Team("t1", digests, List.of("m1"), List.of("booking", "wallet", "news"), 1.0);
+    List<Service> services =
+        List.of(
+            new Service("booking", false, List.of("questions")),
+            new Service("wallet", false, List.of("/")),
+            new Service("news", true, List.of("")));
+    Configuration configuration =
+        new Configuration(
+            List.of(team), List.of(new Model("m1", List.of("1"), 1L, 1L)), services, backends);
+    Map<String, ProcessState> processes =
+        view.get() == null ? Map.of() : view.get().state().processes();
+    set(ConfigView.of(configuration), processes, true);
+  }
+
+  /** Makes entries know each other. */
+  void join(List<TestEntry> entries) {
+    Map<String, ProcessState> processes = new TreeMap<>();
+    for (TestEntry entry : entries) {
+      Joined joined = new Joined("luzon", "a", entry.server.address().toString(), "127.0.0.1:1");
+      processes.put(entry.self.getVm(), new ProcessState(entry.self, joined, false, 1L));
+    }
+    set(view.get().config(), processes, true);
+  }
+
+  void markEnded(Incarnation ended) {
+    Map<String, ProcessState> processes = new TreeMap<>(view.get().state().processes());
+    Joined joined = new Joined("luzon", "a", "127.0.0.1:1", "127.0.0.1:1");
+    processes.put(ended.getVm(), new ProcessState(ended, joined, true, 2L));
+    set(view.get().config(), processes, true);
+  }
+
+  void setFresh(boolean fresh) {
+    set(view.get().config(), view.get().state().processes(), fresh);
+  }
+
+  private void set(ConfigView config, Map<String, ProcessState> processes, boolean fresh) {
+    FoldedState state =
+        new FoldedState(1, 1, config, Map.of(), processes, Map.of(), Map.of(), Map.of(), Map.of());
+    view.set(new TrafficView(state, fresh, true, Set.of(), Set.of()));
+  }
+
+  RawCaller caller() {
+    return new RawCaller(server.address());
+  }
+
+  static Backend engine(String name, Address address) {
+    return new Backend(
+        name, BackendKind.ENGINE, address.toString(), "a", List.of("m1"), false, true, 1_000);
+  }
+
+  static Backend service(String name, String service, Address address) {
+    return new Backend(
+        name,
+        BackendKind.SERVICE,
+        address.toString(),
+        "a",
+        service,
+        new ArrayList<>(),
+        false,
+        true,
+        0);
+  }
+
+  private static Settings settings(String vm, int threads, int keepMs) {
+    return new Settings(
+        vm,
+        "luzon",
+        "a",
+        "127.0.0.1:0",
+        "127.0.0.1:0",
+        "http://127.0.0.1:1",
+        null,
+        List.of(),
+        200,
+        100,
+        keepMs,
+        null,
+        threads,
+        null,
+        null,
+        null,
+        null);
+  }
+
+  @Override
+  public void close() {
+    server.close();
+    loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+  }
+}
--- /dev/null
+++ b/samphiregauge-daemon/src/test/java/io/samphiregauge/daemon/traffic/TicketCallsTest.java
@@ -0,0 +1,176 @@
+package io.samphiregauge.daemon.traffic;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.samphiregauge.net.Codec;
+import io.samphiregauge.schema.config.Backend;
+import io.samphiregauge.schema.entry.ErrorAnswer;
+import io.samphiregauge.schema.record.Incarnation;
+import io.samphiregauge.schema.standin.ServiceFaults;
+import io.samphiregauge.standins.ServiceStandin;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against non-idempotent requests that run twice, or whose refusal is not true. */
+class TicketCallsTest {
+  private static final String BOOK = "/v1/services/booking/book";
+
+  private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
+  private ServiceStandin booking;
+  private ServiceStandin other;
+  private TestEntry owner;
+  private TestEntry neighbour;
+
+  @BeforeEach
+  void start() {
+    booking = ServiceStandin.start(loops, TestEntry.ANY, "b1");
+    other = ServiceStandin.start(loops, TestEntry.ANY, "b2");
+    List<Backend> backends =
+        List.of(
+            TestEntry.service("b1", "booking", booking.address()),
+            TestEntry.service("b2", "booking", other.address()));
+    owner = new TestEntry("vm1", 2, 5_000, backends);
+    neighbour = new TestEntry("vm2", 2, 5_000, backends);
+    owner.join(List.of(owner, neighbour));
+    neighbour.join(List.of(owner, neighbour));
+  }
+
+  @AfterEach
+  void stop() {
+    owner.close();
+    neighbour.close();
+    booking.close();
+    other.close();
+    loops.shutdownGracefully();
+  }
+
+  @Test
+  void asksForATicketAndGivesOne() {
+    try (RawCaller caller = owner.caller()) {
+      RawCaller.Answer answer = caller.ask("POST", BOOK, RawCaller.key(TestEntry.KEY), "{}");
+      assertThat(answer.status()).isEqualTo(428);
+      assertThat(answer.body()).contains("ticket_required", "not_run");
+    }
+    assertThat(booking.record().getCalls() + other.record().getCalls()).isZero();
+  }
+
+  @Test
+  void runsOnceForRepeatsOnBothEntriesAtOnce() {
+    booking.set(new ServiceFaults(50, 0, 0));
+    other.set(new ServiceFaults(50, 0, 0));
+    String ticket = ticket(owner);
+    List<CompletableFuture<RawCaller.Answer>> answers =
+        IntStream.range(0, 8)
+            .mapToObj(
+                i ->
+                    CompletableFuture.supplyAsync(
+                        () -> book(i % 2 == 0 ? owner : neighbour, ticket)))
+            .toList();
+    for (CompletableFuture<RawCaller.Answer> answer : answers) {
+      assertThat(answer.join().status()).isEqualTo(200);
+      assertThat(answer.join().body()).isEqualTo(answers.get(0).join().body());
+    }
+    assertThat(book(neighbour, ticket).body()).isEqualTo(answers.get(0).join().body());
+    assertThat(booking.runs(ticket) + other.runs(ticket)).isEqualTo(1);
+    assertThat(outcome(neighbour, ticket)).contains("\"done\"");
+  }
+
+  @Test
+  void saysUnknownAndRunsNoMoreWhenTheAnswerIsLost() {
+    booking.set(new ServiceFaults(0, 0, 1));
+    other.set(new ServiceFaults(0, 0, 1));
+    String ticket = ticket(owner);
+    RawCaller.Answer first = book(owner, ticket);
+    assertThat(first.status()).isEqualTo(409);
+    assertThat(first.body()).contains("outcome_unknown");
+    assertThat(book(neighbour, ticket).body()).contains("outcome_unknown");
+    assertThat(booking.runs(ticket) + other.runs(ticket)).isEqualTo(1);
+    assertThat(outcome(owner, ticket)).contains("\"unknown\"");
+  }
+
+  @Test
+  void keepsRunningWhenTheCallerLeavesSoThatARepeatGetsTheAnswer() {
+    booking.set(new ServiceFaults(100, 0, 0));
+    other.set(new ServiceFaults(100, 0, 0));
+    String ticket = ticket(owner);
+    try (RawCaller caller = owner.caller()) {
+      caller.send(RawCaller.request("POST", BOOK, headers(TestEntry.KEY, ticket), "{}"));
+      awaitCall();
+    }
+    assertThat(book(owner, ticket).status()).isEqualTo(200);
+    assertThat(booking.runs(ticket) + other.runs(ticket)).isEqualTo(1);
+  }
+
+  @Test
+  void refusesATicketWhoseProcessHasEnded() {
+    Incarnation ended = new Incarnation("vm9", 5L, 5L);
+    owner.markEnded(ended);
+    RawCaller.Answer answer = book(owner, "vm9.5.5.1.0");
+    assertThat(answer.status()).isEqualTo(409);
+    assertThat(answer.body()).contains("ticket_owner_ended", "outcome_unknown");
+  }
+
+  @Test
+  void voidsTheTicketOfARequestThatWasRefusedAsNotRun() {
+    owner.configure(List.of(TestEntry.KEY), List.of());
+    String ticket = ticket(owner);
+    assertThat(book(owner, ticket).body()).contains("not_run");
+    owner.configure(
+        List.of(TestEntry.KEY), List.of(TestEntry.service("b1", "booking", booking.address())));
+    assertThat(book(owner, ticket).body()).contains("not_run");
+    assertThat(booking.record().getCalls()).isZero();
+  }
+
+  @Test
+  void neverClaimsNotRunForARepeatWhoseKeyWasWithdrawn() {
+    String ticket = ticket(owner);
+    assertThat(book(owner, ticket).status()).isEqualTo(200);
+    owner.configure(List.of("new"), List.of());
+    RawCaller.Answer repeat = book(owner, ticket);
+    assertThat(repeat.status()).isEqualTo(401);
+    assertThat(repeat.body()).contains("outcome_unknown");
+  }
+
+  private void awaitCall() {
+    for (int i = 0; i < 10_000; i++) {
+      if (booking.record().getCalls() + other.record().getCalls() > 0) {
+        return;
+      }
+    }
+  }
+
+  private static String ticket(TestEntry entry) {
+    try (RawCaller caller = entry.caller()) {
+      String body = caller.ask("POST", BOOK, RawCaller.key(TestEntry.KEY), "{}").body();
+      return Codec.json()
+          .decode(body.getBytes(StandardCharsets.UTF_8), ErrorAnswer.class)
+          .value()
+          .orElseThrow()
+          .getError()
+          .getTicket()
+          .orElseThrow();
+    }
+  }
+
+  private static RawCaller.Answer book(TestEntry entry, String ticket) {
+    try (RawCaller caller = entry.caller()) {
+      return caller.ask("POST", BOOK, headers(TestEntry.KEY, ticket), "{}");
+    }
+  }
+
+  private static String outcome(TestEntry entry, String ticket) {
+    try (RawCaller caller = entry.caller()) {
+      return caller.ask("GET", "/v1/outcomes/" + ticket, RawCaller.key(TestEntry.KEY), "").body();
+    }
+  }
+
+  private static String headers(String key, String ticket) {
+    return RawCaller.key(key) + "Samphire-Ticket: " + ticket + "\r\n";
+  }
+}
--- /dev/null
+++ b/samphiregauge-net/src/test/java/io/samphiregauge/net/RequestGateTest.java
@@ -0,0 +1,224 @@
+package io.samphiregauge.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.PrematureChannelClosureException;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+/** Guards against callers that send slowly, too much, or what is not HTTP. */
+class RequestGateTest {
+  private static final HttpLimits LIMITS = new HttpLimits(1_024, 4_096, 10_000, 30_000, 60_000);
+  private static final Pattern STATUS = Pattern.compile("HTTP/1\\.1 (\\d{3}) ");
+
+  private final List<String> handled = new ArrayList<>();
+  private long nowMs;
+  private EmbeddedChannel channel = open(true);
+
+  @Test
+  void refusesAHeadThatTakesTooLong() {
+    send("GET / HTTP/1.1\r\nHo");
+    pass(9_999);
+    assertThat(answers()).isEmpty();
+    pass(2);
+    assertThat(handled).containsExactly("408 head_timeout");
+    assertThat(channel.isOpen()).isFalse();
+  }
+
+  @Test
+  void refusesABodyThatTakesTooLongEvenWhenItNeverStops() {
+    send("POST / HTTP/1.1\r\nContent-Length: 1000\r\n\r\n");
+    for (int i = 0; i < 30; i++) {
+      send("x");
+      pass(1_000);
+    }
+    pass(2);
+    assertThat(handled).containsExactly("408 body_timeout");
+  }
+
+  @Test
+  void limitsNoTimeWhileAnAnswerIsOnItsWay() {
+    channel = open(false);
+    send("GET / HTTP/1.1\r\n\r\nGET /ahead HTTP/1.1\r\nHo");
+    pass(600_000);
+    assertThat(handled).containsExactly("/");
+    assertThat(channel.isOpen()).isTrue();
+  }
+
+  @Test
+  void closesAnIdleConnection() {
+    send("GET / HTTP/1.1\r\n\r\n");
+    pass(59_999);
+    assertThat(channel.isOpen()).isTrue();
+    pass(2);
+    assertThat(channel.isOpen()).isFalse();
+  }
+
+  @Test
+  void refusesTooLargeAHeadOrBody() {
+    send("GET / HTTP/1.1\r\nX: " + "x".repeat(2_000) + "\r\n\r\n");
+    channel = open(true);
+    send("POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n");
+    channel = open(true);
+    send("POST / HTTP/1.1\r\nContent-Length: 5000\r\nExpect: 100-continue\r\n\r\n");
+    channel = open(true);
+    send("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1388\r\n" + "x".repeat(5_000));
+    assertThat(handled)
+        .containsExactly(
+            "431 head_too_large", "413 body_too_large", "413 body_too_large", "413 body_too_large");
+  }
+
+  @Test
+  void holdsRequestsThatAreSentAheadAndStopsReading() {
+    channel = open(false);
+    send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+    assertThat(handled).containsExactly("/1");
+    assertThat(channel.config().isAutoRead()).isFalse();
+    channel.writeOutbound(ok());
+    channel.runPendingTasks();
+    assertThat(handled).containsExactly("/1", "/2");
+  }
+
+  /** Cuts, swaps and changes bytes of valid requests at random. */
+  @Property(tries = 1_000)
+  void neverAnswersMoreThanItHandledAndNeverFails(@ForAll long seed) {
+    Random random = new Random(seed);
+    EmbeddedChannel fuzzed = open(true);
+    byte[] bytes = mutate(random, requests(random)).getBytes(StandardCharsets.ISO_8859_1);
+    int before = handled.size();
+    for (int at = 0; at < bytes.length && fuzzed.isOpen(); ) {
+      int length = Math.min(bytes.length - at, 1 + random.nextInt(200));
+      fuzzed.writeInbound(Unpooled.copiedBuffer(bytes, at, length));
+      at += length;
+    }
+    fuzzed.runPendingTasks();
+    fuzzed.checkException();
+    List<String> answers = statuses(fuzzed);
+    assertThat(answers).hasSize(handled.size() - before);
+    assertThat(answers).allMatch(status -> List.of("200", "400", "413", "431").contains(status));
+    fuzzed.finishAndReleaseAll();
+  }
+
+  private static String requests(Random random) {
+    StringBuilder text = new StringBuilder();
+    for (int i = 0; i <= random.nextInt(4); i++) {
+      int size = random.nextInt(300);
+      text.append("POST /v1/x HTTP/1.1\r\nHost: h\r\n");
+      if (random.nextBoolean()) {
+        text.append("Content-Length: ").append(size).append("\r\n\r\n").append("b".repeat(size));
+      } else {
+        text.append("Transfer-Encoding: chunked\r\n\r\n").append(Integer.toHexString(size + 1));
+        text.append("\r\n").append("c".repeat(size + 1)).append("\r\n0\r\n\r\n");
+      }
+    }
+    return text.toString();
+  }
+
+  private static String mutate(Random random, String text) {
+    StringBuilder mutated = new StringBuilder(text);
+    for (int i = 0; i < random.nextInt(6); i++) {
+      int at = random.nextInt(mutated.length());
+      switch (random.nextInt(4)) {
+        case 0 -> mutated.setCharAt(at, (char) random.nextInt(256));
+        case 1 -> mutated.setLength(Math.max(1, at));
+        case 2 -> mutated.insert(at, "x".repeat(random.nextInt(2_000)));
+        default -> mutated.insert(at, mutated.substring(0, random.nextInt(mutated.length())));
+      }
+    }
+    return mutated.toString();
+  }
+
+  private EmbeddedChannel open(boolean answering) {
+    EmbeddedChannel opened = new EmbeddedChannel();
+    opened.freezeTime();
+    HttpServer.wholeRequests(opened.pipeline(), LIMITS, () -> nowMs, new Recorder(answering));
+    return opened;
+  }
+
+  private void send(String text) {
+    channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+    channel.runPendingTasks();
+  }
+
+  private void pass(long timeMs) {
+    nowMs += timeMs;
+    channel.advanceTimeBy(timeMs, TimeUnit.MILLISECONDS);
+    channel.runScheduledPendingTasks();
+  }
+
+  private List<String> answers() {
+    return statuses(channel);
+  }
+
+  private static List<String> statuses(EmbeddedChannel channel) {
+    StringBuilder text = new StringBuilder();
+    for (ByteBuf part = channel.readOutbound(); part != null; part = channel.readOutbound()) {
+      text.append(part.toString(StandardCharsets.ISO_8859_1));
+      part.release();
+    }
+    return STATUS
+        .matcher(text)
+        .results()
+        .map(result -> result.group(1))
+        .filter(status -> !status.equals("100"))
+        .toList();
+  }
+
+  private static DefaultFullHttpResponse ok() {
+    var response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+    return response;
+  }
+
+  /** Notes each request or fault, and answers it. */
+  private final class Recorder extends ChannelInboundHandlerAdapter {
+    private final boolean answering;
+
+    Recorder(boolean answering) {
+      this.answering = answering;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+      DefaultFullHttpResponse answer = ok();
+      if (message instanceof RequestFault fault) {
+        handled.add(fault.status() + " " + fault.type());
+        answer.setStatus(HttpResponseStatus.valueOf(fault.status()));
+      } else {
+        handled.add(((FullHttpRequest) message).uri());
+      }
+      ReferenceCountUtil.release(message);
+      if (answering) {
+        ctx.writeAndFlush(answer);
+      } else {
+        answer.release();
+      }
+    }
+
+    /** A caller may leave in the middle of a body; any other exception fails the test. */
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      if (!(cause instanceof PrematureChannelClosureException)) {
+        ctx.fireExceptionCaught(cause);
+      }
+    }
+  }
+}
