--- a/samphiregauge-standins/src/main/java/io/samphiregauge/standins/Call.java
+++ b/samphiregauge-standins/src/main/java/io/samphiregauge/standins/Call.java
@@ -106,8 +106,15 @@
     sever(channel);
   }
 
+  /** Severs on the loop of the channel, since a closed socket takes no options. */
   static void sever(Channel channel) {
-    channel.config().setOption(ChannelOption.SO_LINGER, 0);
-    channel.close();
+    channel.eventLoop().execute(() -> reset(channel));
+  }
+
+  private static void reset(Channel channel) {
+    if (channel.isOpen()) {
+      channel.config().setOption(ChannelOption.SO_LINGER, 0);
+      channel.close();
+    }
   }
 }
--- /dev/null
+++ b/samphiregauge-standins/src/test/java/io/samphiregauge/standins/Http.java
@@ -0,0 +1,34 @@
+package io.samphiregauge.standins;
+
+import io.netty.channel.EventLoopGroup;
+import io.samphiregauge.core.result.Result;
+import io.samphiregauge.net.Address;
+import io.samphiregauge.net.Codec;
+import io.samphiregauge.net.HttpCaller;
+
+/** Calls stand-ins over HTTP in tests. */
+final class Http {
+  static final Address ANY = new Address("127.0.0.1", 0);
+
+  private static final int TIMEOUT_MS = 10_000;
+
+  private final HttpCaller caller;
+
+  Http(EventLoopGroup loops) {
+    this.caller = new HttpCaller(loops);
+  }
+
+  <T> Result<T> get(Address address, String path, Class<T> type) {
+    return caller
+        .get(address, path, TIMEOUT_MS)
+        .join()
+        .flatMap(body -> Codec.json().decode(body, type));
+  }
+
+  <T> Result<T> post(Address address, String path, Object message, Class<T> type) {
+    return caller
+        .post(address, path, Codec.json().encode(message), TIMEOUT_MS)
+        .join()
+        .flatMap(body -> Codec.json().decode(body, type));
+  }
+}
