Replay traces in virtual time under the product's policies and baselines

Cause: decisions under load were neither implemented nor measured. Adds the engine view with corrections, placement on one or two engines, the fair queue and the gate with early refusal to the core, and the replay with engine model, bound and trace writer.

--- /dev/null
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/admit/package-info.java
@@ -0,0 +1,2 @@
+/** Admission: early refusal, team limits, retry budget, isolation of engines. */
+package io.samphiregauge.core.admit;
--- /dev/null
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/engine/PrefixIndex.java
@@ -0,0 +1,143 @@
+package io.samphiregauge.core.engine;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Which engines hold which prompt prefixes, from cache events that come late and with gaps.
+ *
+ * <p>After a gap in the event numbers of an engine, what was known of it counts half, because any
+ * of its prefixes may have been evicted meanwhile. A wrong entry costs a prefill, never a wrong
+ * answer. The index keeps a bounded number of prefixes, the ones used last.
+ */
+public final class PrefixIndex {
+  private static final double CONFIDENCE_AFTER_GAP = 0.5;
+
+  /** More holders than this do not improve a choice among 16 candidates. */
+  private static final int MAX_HOLDERS = 8;
+
+  /**
+   * A change in the prefix cache of an engine.
+   *
+   * @param engine name of the engine
+   * @param number number of the event, one more than the one before
+   * @param prefix digest of the prefix
+   * @param stored true when it was stored, false when it was evicted
+   */
+  public record CacheEvent(String engine, long number, String prefix, boolean stored) {}
+
+  private record Holder(String engine, int epoch) {}
+
+  private static final class EngineEvents {
+    private long lastNumber;
+    private int epoch;
+  }
+
+  private final int maxPrefixes;
+  private final Map<String, List<Holder>> holders;
+  private final Map<String, EngineEvents> engines = new LinkedHashMap<>();
+
+  /**
+   * Makes an empty index.
+   *
+   * @param maxPrefixes prefixes to keep; the ones used last stay
+   */
+  public PrefixIndex(int maxPrefixes) {
+    this.maxPrefixes = maxPrefixes;
+    this.holders = new LinkedHashMap<>(16, 0.75f, true);
+  }
+
+  /**
+   * Applies a cache event.
+   *
+   * @param event the event; one with an old number is ignored
+   */
+  public void apply(CacheEvent event) {
+    EngineEvents events = engines.computeIfAbsent(event.engine(), name -> new EngineEvents());
+    if (event.number() <= events.lastNumber) {
+      return;
+    }
+    if (event.number() > events.lastNumber + 1) {
+      events.epoch++;
+    }
+    events.lastNumber = event.number();
+    if (event.stored()) {
+      store(event.engine(), event.prefix(), events.epoch);
+    } else {
+      evict(event.engine(), event.prefix());
+    }
+  }
+
+  /**
+   * Notes that a request with this prefix was sent to an engine, which will hold it soon.
+   *
+   * @param engine name of the engine
+   * @param prefix digest of the prefix
+   */
+  public void sent(String engine, String prefix) {
+    store(engine, prefix, engines.computeIfAbsent(engine, name -> new EngineEvents()).epoch);
+  }
+
+  /** Forgets an engine that has crashed or left. */
+  public void forget(String engine) {
+    engines.remove(engine);
+    holders.values().forEach(list -> list.removeIf(holder -> holder.engine().equals(engine)));
+  }
+
+  /**
+   * Returns the engines that probably hold a prefix, at most 8.
+   *
+   * @param prefix digest of the prefix
+   * @return names of engines
+   */
+  public List<String> holders(String prefix) {
+    List<Holder> list = holders.get(prefix);
+    return list == null ? List.of() : list.stream().map(Holder::engine).toList();
+  }
+
+  /**
+   * Tells how probable it is that an engine holds a prefix.
+   *
+   * @param engine name of the engine
+   * @param prefix digest of the prefix
+   * @return 1 without a gap since the event, less after gaps, 0 when nothing is known
+   */
+  public double confidence(String engine, String prefix) {
+    List<Holder> list = holders.get(prefix);
+    if (list == null) {
+      return 0;
+    }
+    for (Holder holder : list) {
+      if (holder.engine().equals(engine)) {
+        EngineEvents events = engines.get(engine);
+        int gaps = events == null ? 0 : events.epoch - holder.epoch();
+        return StrictMath.pow(CONFIDENCE_AFTER_GAP, gaps);
+      }
+    }
+    return 0;
+  }
+
+  private void store(String engine, String prefix, int epoch) {
+    List<Holder> list = holders.computeIfAbsent(prefix, p -> new ArrayList<>(2));
+    list.removeIf(holder -> holder.engine().equals(engine));
+    list.add(new Holder(engine, epoch));
+    if (list.size() > MAX_HOLDERS) {
+      list.remove(0);
+    }
+    if (holders.size() > maxPrefixes) {
+      Iterator<String> oldest = holders.keySet().iterator();
+      oldest.next();
+      oldest.remove();
+    }
+  }
+
+  private void evict(String engine, String prefix) {
+    List<Holder> list = holders.get(prefix);
+    if (list != null) {
+      list.removeIf(holder -> holder.engine().equals(engine));
+    }
+  }
+}
--- /dev/null
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/fair/FairQueue.java
@@ -0,0 +1,187 @@
+package io.samphiregauge.core.fair;
+
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+
+/**
+ * Waiting requests, taken in weighted max-min order of the service that each team has had.
+ *
+ * <p>Each team has a virtual time: its service, in cost of prefill and decode, over its weight. The
+ * waiting team with the least virtual time is served next. A team that waits again after a pause
+ * starts at the least virtual time of the waiting teams: its idle share was lent to the others, it
+ * has no claim on the past, and it has its full share again from the next decision on.
+ *
+ * <p>Bound on drift: between two teams that both wait all the time, service over weight differs by
+ * at most {@code maxCost / weightA + maxCost / weightB}, where {@code maxCost} is the largest cost
+ * of one request including its correction. Charges for service at other entries add at most what
+ * those served in one exchange interval.
+ *
+ * @param <T> type of a waiting request
+ */
+public final class FairQueue<T> {
+  /**
+   * A request in the queue.
+   *
+   * @param team team that it runs for
+   * @param cost expected cost
+   * @param content the request
+   */
+  public record Waiting<T>(String team, double cost, T content) {}
+
+  private static final class Team<T> {
+    private final String name;
+    private final Deque<Waiting<T>> waiting = new ArrayDeque<>();
+    private double weight = 1;
+    private double virtualTime;
+    private double backlogCost;
+
+    private Team(String name) {
+      this.name = name;
+    }
+  }
+
+  private static final double MAX_LEAD_COST = 2_000;
+
+  private final Map<String, Team<T>> teams = new HashMap<>();
+  private final TreeSet<Team<T>> order =
+      new TreeSet<>(
+          Comparator.comparingDouble((Team<T> t) -> t.virtualTime).thenComparing(t -> t.name));
+  private double virtualNow;
+  private int size;
+
+  /** Returns the number of waiting requests. */
+  public int size() {
+    return size;
+  }
+
+  /**
+   * Adds a request behind the others of its team.
+   *
+   * @param team name of the team
+   * @param weight weight of the team, greater than 0
+   * @param cost expected cost, greater than 0
+   * @param content the request
+   */
+  public void offer(String team, double weight, double cost, T content) {
+    if (!(weight > 0) || !(cost > 0)) {
+      throw new IllegalArgumentException("weight and cost must be greater than 0");
+    }
+    Team<T> state = team(team);
+    order.remove(state);
+    if (state.waiting.isEmpty()) {
+      state.virtualTime = Math.max(state.virtualTime, virtualNow());
+    }
+    state.weight = weight;
+    state.waiting.add(new Waiting<>(team, cost, content));
+    state.backlogCost += cost;
+    order.add(state);
+    size++;
+  }
+
+  /** Returns the request to serve next, and leaves it in the queue. */
+  public Optional<Waiting<T>> peek() {
+    return order.isEmpty() ? Optional.empty() : Optional.of(order.first().waiting.element());
+  }
+
+  /** Takes the request to serve next, and charges its expected cost to its team. */
+  public Optional<Waiting<T>> poll() {
+    Optional<Waiting<T>> next = take();
+    next.ifPresent(waiting -> charge(waiting.team(), waiting.cost()));
+    return next;
+  }
+
+  /** Takes the request to serve next without a charge, because it will not run. */
+  public Optional<Waiting<T>> drop() {
+    return take();
+  }
+
+  /**
+   * Charges service that this queue has not charged: the difference between expected and real cost,
+   * or service of the team at other entries.
+   *
+   * @param team name of the team
+   * @param cost cost, negative where too much was charged
+   */
+  public void charge(String team, double cost) {
+    Team<T> state = team(team);
+    boolean waits = order.remove(state);
+    state.virtualTime += cost / state.weight;
+    if (waits) {
+      order.add(state);
+    }
+  }
+
+  /**
+   * Charges service of a team at other entries.
+   *
+   * <p>A team that does not wait here is charged no further than two seconds of one engine ahead of
+   * the others, so that it is served here again at most that much later.
+   *
+   * @param team name of the team
+   * @param cost cost, in milliseconds of engine time
+   */
+  public void chargeElsewhere(String team, double cost) {
+    Team<T> state = team(team);
+    double most = virtualNow() + MAX_LEAD_COST / state.weight;
+    if (state.waiting.isEmpty()) {
+      state.virtualTime =
+          Math.min(state.virtualTime + cost / state.weight, Math.max(state.virtualTime, most));
+      return;
+    }
+    charge(team, cost);
+  }
+
+  /**
+   * Returns the cost that is served before a new request of a team, if all teams keep waiting.
+   *
+   * @param team name of the team
+   * @param weight weight of the team
+   * @param cost cost of the new request
+   * @return cost of the requests ahead of it
+   */
+  public double costAhead(String team, double weight, double cost) {
+    if (size == 0) {
+      return 0;
+    }
+    Team<T> own = team(team);
+    double start =
+        own.waiting.isEmpty() ? Math.max(own.virtualTime, virtualNow()) : own.virtualTime;
+    double finish = start + (own.backlogCost + cost) / weight;
+    double ahead = 0;
+    for (Team<T> other : order) {
+      if (other.virtualTime >= finish) {
+        break;
+      }
+      ahead += Math.min(other.backlogCost, (finish - other.virtualTime) * other.weight);
+    }
+    return ahead;
+  }
+
+  private Optional<Waiting<T>> take() {
+    if (order.isEmpty()) {
+      return Optional.empty();
+    }
+    Team<T> first = order.pollFirst();
+    virtualNow = Math.max(virtualNow, first.virtualTime);
+    Waiting<T> next = first.waiting.remove();
+    first.backlogCost -= next.cost();
+    size--;
+    if (!first.waiting.isEmpty()) {
+      order.add(first);
+    }
+    return Optional.of(next);
+  }
+
+  private double virtualNow() {
+    return order.isEmpty() ? virtualNow : order.first().virtualTime;
+  }
+
+  private Team<T> team(String name) {
+    return teams.computeIfAbsent(name, Team::new);
+  }
+}
--- /dev/null
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/fair/package-info.java
@@ -0,0 +1,2 @@
+/** Division of service among teams. */
+package io.samphiregauge.core.fair;
--- /dev/null
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/fleet/FleetView.java
@@ -0,0 +1,30 @@
+package io.samphiregauge.core.fleet;
+
+import io.samphiregauge.schema.config.FleetPolicy;
+import java.util.List;
+
+/**
+ * What decisions about the fleet depend on; immutable.
+ *
+ * @param nowMs time
+ * @param engines engines in order of their names
+ * @param demand offered work now
+ * @param soon forecast for the time that a role change takes
+ * @param later forecast for the time that a new engine takes
+ * @param limits the operators' limits
+ * @param failureDomains failure domains that engines can be ordered in
+ */
+public record FleetView(
+    long nowMs,
+    List<FleetEngine> engines,
+    Demand demand,
+    Demand soon,
+    Demand later,
+    FleetPolicy limits,
+    List<String> failureDomains) {
+  /** Copies the lists. */
+  public FleetView {
+    engines = List.copyOf(engines);
+    failureDomains = List.copyOf(failureDomains);
+  }
+}
--- /dev/null
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/route/Estimate.java
@@ -0,0 +1,91 @@
+package io.samphiregauge.core.route;
+
+import io.samphiregauge.core.engine.EngineProfile;
+import io.samphiregauge.core.engine.EngineView;
+import io.samphiregauge.schema.order.EngineRole;
+
+/** Predicts how long an engine takes for parts of a request, and what it delays other work. */
+final class Estimate {
+  private static final double MS_PER_S = 1_000;
+
+  /** KV transfer between engines, in tokens per millisecond; a slow link of 50,000 tokens/s. */
+  private static final double KV_TOKENS_PER_MS = 50;
+
+  private Estimate() {}
+
+  /** Time until the engine has computed what waits there now. */
+  static double queueMs(EngineView engine) {
+    return engine.queuedPrefillTokens() / prefillTokensPerMs(engine);
+  }
+
+  static double uncachedTokens(EngineView engine, PlacementRequest request) {
+    return Math.max(1, request.promptTokens() - engine.cachedTokens());
+  }
+
+  /** Time from now until the first token, without the way back. */
+  static double prefillMs(EngineView engine, PlacementRequest request) {
+    double tokens = engine.queuedPrefillTokens() + uncachedTokens(engine, request);
+    return engine.hopMs() + tokens / prefillTokensPerMs(engine);
+  }
+
+  /** Delay that the prompt causes to the sequences that decode on the engine, summed. */
+  static double prefillImpactMs(EngineView engine, PlacementRequest request) {
+    double work = uncachedTokens(engine, request) * engine.profile().prefillMsPerToken();
+    return work * Math.min(engine.sequences(), engine.profile().slots());
+  }
+
+  static double transferMs(PlacementRequest request) {
+    return request.promptTokens() / KV_TOKENS_PER_MS;
+  }
+
+  /** Time for all output tokens with one more sequence on the engine. */
+  static double decodeMs(EngineView engine, PlacementRequest request) {
+    return slotWaitMs(engine, request) + request.outputTokens() * stepMs(engine, request);
+  }
+
+  /** Delay that one more sequence causes to the others, summed over them. */
+  static double decodeImpactMs(EngineView engine, PlacementRequest request) {
+    EngineProfile profile = engine.profile();
+    double others = Math.min(engine.sequences(), profile.slots());
+    return request.outputTokens() * profile.stepPerSequenceMs() * others;
+  }
+
+  static double stepMs(EngineView engine, PlacementRequest request) {
+    EngineProfile profile = engine.profile();
+    double sequences = Math.min(engine.sequences() + 1, profile.slots());
+    double step = profile.stepBaseMs() + profile.stepPerSequenceMs() * sequences;
+    return engine.role() == EngineRole.MIXED
+        ? step + prefillShare(engine, request, step) * chunkMs(profile)
+        : step;
+  }
+
+  private static double prefillShare(EngineView engine, PlacementRequest request, double step) {
+    double backlogMs = queueMs(engine);
+    double decodeMs = Math.max(1, request.outputTokens() * step);
+    return Math.min(1, Math.max(engine.prefillBusy(), backlogMs / decodeMs));
+  }
+
+  private static double slotWaitMs(EngineView engine, PlacementRequest request) {
+    double full = engine.sequences() + 1 - engine.profile().slots();
+    double kvMissing = request.promptTokens() + request.outputTokens() - engine.freeKvTokens();
+    double perSequence = request.outputTokens() * engine.profile().decodeMsPerToken();
+    double slotWait = full > 0 ? full * perSequence : 0;
+    return slotWait + (kvMissing > 0 ? perSequence * engine.profile().slots() : 0);
+  }
+
+  private static double chunkMs(EngineProfile profile) {
+    return profile.mixedBudgetTokens() * profile.prefillMsPerToken();
+  }
+
+  private static double prefillTokensPerMs(EngineView engine) {
+    EngineProfile profile = engine.profile();
+    if (engine.role() == EngineRole.PREFILL) {
+      double perStep = profile.prefillBudgetTokens();
+      return perStep / (profile.stepBaseMs() + perStep * profile.prefillMsPerToken());
+    }
+    double decoding = Math.min(engine.sequences(), profile.slots()) * profile.stepPerSequenceMs();
+    double step = profile.stepBaseMs() + decoding + chunkMs(profile);
+    return Math.min(
+        profile.mixedBudgetTokens() / step, profile.prefillTokensPerSecond() / MS_PER_S);
+  }
+}
--- /dev/null
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/route/PlacementPolicies.java
@@ -0,0 +1,166 @@
+package io.samphiregauge.core.route;
+
+import io.samphiregauge.core.RandomSource;
+import io.samphiregauge.core.engine.EngineView;
+import io.samphiregauge.schema.order.EngineRole;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
+
+/** Placement policies by name, for the setting {@code routingPolicy}. */
+public final class PlacementPolicies {
+  /** Name of the policy that the product uses. */
+  public static final String PREDICTED = "predicted";
+
+  /** A split has to gain this share of the time, because the transfer may be late. */
+  private static final double SPLIT_MARGIN = 0.05;
+
+  private static final Map<String, PlacementPolicy> BY_NAME =
+      new TreeMap<>(
+          Map.of(
+              PREDICTED,
+              PlacementPolicies::predicted,
+              "least_load",
+              PlacementPolicies::leastLoad,
+              "two_choices",
+              PlacementPolicies::twoChoices));
+
+  private PlacementPolicies() {}
+
+  /**
+   * Finds a policy.
+   *
+   * @param name {@code predicted}, {@code least_load} or {@code two_choices}
+   * @return the policy, or empty for an unknown name
+   */
+  public static Optional<PlacementPolicy> named(String name) {
+    return Optional.ofNullable(BY_NAME.get(name));
+  }
+
+  /**
+   * Chooses the placement with the least expected time for the request and delay of other work.
+   *
+   * <p>The parts for prompt and output are separate sums, so the best split is the best engine for
+   * each part, and a decision looks at each candidate once.
+   */
+  static Optional<Placement> predicted(
+      PlacementRequest request, List<EngineView> candidates, RandomSource random) {
+    Predicate<EngineView> free = e -> !request.alone() || e.sequences() == 0;
+    Optional<EngineView> whole =
+        best(candidates, e -> free.test(e) && isMixed(e), e -> wholeScore(e, request));
+    Optional<EngineView> prefill =
+        best(candidates, e -> free.test(e) && !isDecode(e), e -> prefillScore(e, request));
+    Optional<EngineView> decode =
+        best(candidates, e -> free.test(e) && !isPrefill(e), e -> decodeScore(e, request));
+    Optional<Placement> one = whole.map(e -> whole(e, request, candidates.size(), "whole"));
+    if (prefill.isEmpty() || decode.isEmpty() || prefill.equals(decode)) {
+      return one;
+    }
+    double splitScore =
+        prefillScore(prefill.get(), request)
+            + Estimate.transferMs(request)
+            + decodeScore(decode.get(), request);
+    boolean splits =
+        whole.isEmpty() || splitScore < (1 - SPLIT_MARGIN) * wholeScore(whole.get(), request);
+    return splits
+        ? Optional.of(split(prefill.get(), decode.get(), request, candidates.size(), "split"))
+        : one;
+  }
+
+  /** Chooses the engine, or the pair of engines, with the least waiting work. */
+  static Optional<Placement> leastLoad(
+      PlacementRequest request, List<EngineView> candidates, RandomSource random) {
+    Optional<EngineView> prefill =
+        best(candidates, e -> !isDecode(e), EngineView::queuedPrefillTokens);
+    Optional<EngineView> decode = best(candidates, e -> !isPrefill(e), EngineView::sequences);
+    Optional<EngineView> mixed =
+        best(candidates, PlacementPolicies::isMixed, PlacementPolicies::load);
+    if (mixed.isPresent()) {
+      return mixed.map(e -> whole(e, request, candidates.size(), "least_load"));
+    }
+    return prefill.flatMap(
+        p -> decode.map(d -> split(p, d, request, candidates.size(), "least_load")));
+  }
+
+  /** Compares two engines at random. */
+  static Optional<Placement> twoChoices(
+      PlacementRequest request, List<EngineView> candidates, RandomSource random) {
+    if (candidates.isEmpty()) {
+      return Optional.empty();
+    }
+    EngineView first = candidates.get(random.nextIndex(candidates.size()));
+    EngineView second = candidates.get(random.nextIndex(candidates.size()));
+    return leastLoad(request, List.of(first, second), random);
+  }
+
+  private static Optional<EngineView> best(
+      List<EngineView> candidates,
+      Predicate<EngineView> suitable,
+      ToDoubleFunction<EngineView> score) {
+    EngineView best = null;
+    double least = Double.POSITIVE_INFINITY;
+    for (EngineView candidate : candidates) {
+      if (!suitable.test(candidate)) {
+        continue;
+      }
+      double value = score.applyAsDouble(candidate);
+      if (value < least) {
+        least = value;
+        best = candidate;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  private static double load(EngineView engine) {
+    return engine.profile().workMs(engine.queuedPrefillTokens(), 0)
+        + engine.sequences() * engine.profile().stepPerSequenceMs();
+  }
+
+  private static double wholeScore(EngineView engine, PlacementRequest request) {
+    return prefillScore(engine, request) + decodeScore(engine, request);
+  }
+
+  private static double prefillScore(EngineView engine, PlacementRequest request) {
+    return Estimate.prefillMs(engine, request) + Estimate.prefillImpactMs(engine, request);
+  }
+
+  private static double decodeScore(EngineView engine, PlacementRequest request) {
+    return Estimate.decodeMs(engine, request) + Estimate.decodeImpactMs(engine, request);
+  }
+
+  private static Placement whole(
+      EngineView engine, PlacementRequest request, int considered, String reason) {
+    double first = Estimate.prefillMs(engine, request) + engine.hopMs();
+    double total = first + Estimate.decodeMs(engine, request);
+    return new Placement(
+        engine, Optional.empty(), Estimate.queueMs(engine), first, total, considered, reason);
+  }
+
+  private static Placement split(
+      EngineView prefill,
+      EngineView decode,
+      PlacementRequest request,
+      int considered,
+      String reason) {
+    double first = Estimate.prefillMs(prefill, request) + prefill.hopMs();
+    double total = first + Estimate.transferMs(request) + Estimate.decodeMs(decode, request);
+    return new Placement(
+        prefill, Optional.of(decode), Estimate.queueMs(prefill), first, total, considered, reason);
+  }
+
+  private static boolean isMixed(EngineView engine) {
+    return engine.role() == EngineRole.MIXED;
+  }
+
+  private static boolean isPrefill(EngineView engine) {
+    return engine.role() == EngineRole.PREFILL;
+  }
+
+  private static boolean isDecode(EngineView engine) {
+    return engine.role() == EngineRole.DECODE;
+  }
+}
--- /dev/null
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/route/PlacementRequest.java
@@ -0,0 +1,12 @@
+package io.samphiregauge.core.route;
+
+/**
+ * What the placement of a model request depends on.
+ *
+ * @param promptTokens length of the prompt, with tokens emitted before a resume
+ * @param outputTokens expected length of the answer
+ * @param failureDomain failure domain of the entry
+ * @param alone whether the request must not share an engine with other work
+ */
+public record PlacementRequest(
+    int promptTokens, double outputTokens, String failureDomain, boolean alone) {}
--- /dev/null
+++ b/samphiregauge-replay/src/main/java/io/samphiregauge/replay/Policies.java
@@ -0,0 +1,139 @@
+package io.samphiregauge.replay;
+
+import io.samphiregauge.core.fleet.FleetEngine;
+import io.samphiregauge.core.fleet.FleetPolicyDecision;
+import io.samphiregauge.core.fleet.FleetView;
+import io.samphiregauge.core.fleet.RolePolicy;
+import io.samphiregauge.core.route.PlacementPolicies;
+import io.samphiregauge.core.route.PlacementPolicy;
+import io.samphiregauge.schema.order.EngineRole;
+import io.samphiregauge.schema.replay.ReplaySettings;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
+
+/** The product's policies and the baselines, by name. */
+final class Policies {
+  static final String PRODUCT = "product";
+  static final String STATIC = "static";
+  static final String TWO_CHOICES = "two_choices";
+  static final String REACTIVE = "reactive";
+
+  private static final RolePolicy FIXED_ROLES =
+      (memory, view) -> new RolePolicy.Decision(memory, List.of());
+  private static final FleetPolicyDecision FIXED_FLEET =
+      (memory, view) -> new FleetPolicyDecision.Decision(memory, List.of(), List.of());
+
+  private static final Map<String, PolicySet> BY_NAME = new TreeMap<>();
+
+  static {
+    add(
+        new PolicySet(
+            PRODUCT,
+            Policies::allMixed,
+            placement(PlacementPolicies.PREDICTED),
+            true,
+            true,
+            FIXED_ROLES,
+            FIXED_FLEET));
+    add(
+        new PolicySet(
+            STATIC,
+            Policies::splitRoles,
+            placement("least_load"),
+            true,
+            false,
+            FIXED_ROLES,
+            FIXED_FLEET));
+    add(
+        new PolicySet(
+            TWO_CHOICES,
+            Policies::allMixed,
+            placement("two_choices"),
+            true,
+            false,
+            FIXED_ROLES,
+            FIXED_FLEET));
+    add(
+        new PolicySet(
+            REACTIVE,
+            Policies::splitRoles,
+            placement("least_load"),
+            true,
+            false,
+            Policies::react,
+            FIXED_FLEET));
+  }
+
+  private Policies() {}
+
+  static Optional<PolicySet> named(String name) {
+    return Optional.ofNullable(BY_NAME.get(name));
+  }
+
+  /** Names of the policies that run; the bound is computed and does not run. */
+  static List<String> names() {
+    return List.copyOf(BY_NAME.keySet());
+  }
+
+  private static void add(PolicySet policy) {
+    BY_NAME.put(policy.name(), policy);
+  }
+
+  private static PlacementPolicy placement(String name) {
+    return PlacementPolicies.named(name).orElseThrow();
+  }
+
+  private static List<EngineRole> allMixed(ReplaySettings settings) {
+    return Collections.nCopies(settings.getEngines(), EngineRole.MIXED);
+  }
+
+  /** Prefill engines in turn with the others, so that both kinds are in all failure domains. */
+  private static List<EngineRole> splitRoles(ReplaySettings settings) {
+    int engines = settings.getEngines();
+    int prefill = settings.getStaticPrefillEngines();
+    return IntStream.range(0, engines)
+        .mapToObj(
+            i ->
+                i * prefill / engines != (i + 1) * prefill / engines
+                    ? EngineRole.PREFILL
+                    : EngineRole.DECODE)
+        .toList();
+  }
+
+  /** Follows the present demand at once with one engine, without forecast and hysteresis. */
+  private static RolePolicy.Decision react(RolePolicy.Memory memory, FleetView view) {
+    List<FleetEngine> serving =
+        view.engines().stream().filter(e -> e.state() == FleetEngine.State.SERVING).toList();
+    if (serving.size() < 2) {
+      return new RolePolicy.Decision(memory, List.of());
+    }
+    var profile = serving.get(0).profile();
+    double prefillWork = profile.workMs(view.demand().prefillTokensPerSecond(), 0);
+    double decodeWork = profile.workMs(0, view.demand().outputTokensPerSecond());
+    long total = view.engines().stream().filter(FleetEngine::counts).count();
+    long wanted = Math.round(total * prefillWork / Math.max(1e-9, prefillWork + decodeWork));
+    wanted = Math.max(1, Math.min(total - 1, wanted));
+    long now =
+        view.engines().stream()
+            .filter(FleetEngine::counts)
+            .filter(e -> e.role() == EngineRole.PREFILL)
+            .count();
+    if (wanted == now) {
+      return new RolePolicy.Decision(memory, List.of());
+    }
+    EngineRole from = wanted > now ? EngineRole.DECODE : EngineRole.PREFILL;
+    EngineRole to = wanted > now ? EngineRole.PREFILL : EngineRole.DECODE;
+    boolean last = serving.stream().filter(e -> e.role() == from).count() < 2;
+    List<RolePolicy.RoleChange> changes =
+        serving.stream()
+            .filter(e -> e.role() == from && !last)
+            .limit(1)
+            .map(e -> new RolePolicy.RoleChange(e.name(), to, "present_demand"))
+            .toList();
+    return new RolePolicy.Decision(memory, changes);
+  }
+}
--- /dev/null
+++ b/samphiregauge-replay/src/main/java/io/samphiregauge/replay/PolicySet.java
@@ -0,0 +1,29 @@
+package io.samphiregauge.replay;
+
+import io.samphiregauge.core.fleet.FleetPolicyDecision;
+import io.samphiregauge.core.fleet.RolePolicy;
+import io.samphiregauge.core.route.PlacementPolicy;
+import io.samphiregauge.schema.order.EngineRole;
+import io.samphiregauge.schema.replay.ReplaySettings;
+import java.util.List;
+import java.util.function.Function;
+
+/**
+ * The functions that one replay uses.
+ *
+ * @param name name in the table
+ * @param initialRoles roles of the engines at the start
+ * @param placement choice of engines
+ * @param corrected whether entries correct lagging reports by what they sent
+ * @param queued whether entries queue fairly and refuse early; false sends each request at once
+ * @param roles role changes
+ * @param fleet number of engines
+ */
+record PolicySet(
+    String name,
+    Function<ReplaySettings, List<EngineRole>> initialRoles,
+    PlacementPolicy placement,
+    boolean corrected,
+    boolean queued,
+    RolePolicy roles,
+    FleetPolicyDecision fleet) {}
--- /dev/null
+++ b/samphiregauge-replay/src/main/java/io/samphiregauge/replay/TraceFiles.java
@@ -0,0 +1,128 @@
+package io.samphiregauge.replay;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.json.JsonReadFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import io.samphiregauge.core.result.Result;
+import io.samphiregauge.schema.replay.ReplaySettings;
+import io.samphiregauge.schema.replay.TraceEvent;
+import io.samphiregauge.schema.replay.TraceRequest;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Reads and writes traces of JSON lines, settings and reports. */
+final class TraceFiles {
+  static final ObjectMapper JSON =
+      JsonMapper.builder()
+          .addModule(new Jdk8Module())
+          .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
+          .build();
+
+  private static final String EVENT = "event";
+  private static final String EXTENSION = ".jsonl";
+
+  private TraceFiles() {}
+
+  static Result<Trace> read(Path file) {
+    try {
+      return parse(name(file), file.toString(), Files.readAllLines(file));
+    } catch (IOException e) {
+      return Result.failed(new ReplayFailure.FileUnusable(file.toString(), e.toString()));
+    }
+  }
+
+  static Result<Trace> parse(String name, String file, List<String> lines) {
+    List<TraceRequest> requests = new ArrayList<>();
+    List<TraceEvent> events = new ArrayList<>();
+    for (int i = 0; i < lines.size(); i++) {
+      if (lines.get(i).isBlank()) {
+        continue;
+      }
+      try {
+        JsonNode tree = JSON.readTree(lines.get(i));
+        if (tree.has(EVENT)) {
+          events.add(JSON.treeToValue(tree, TraceEvent.class));
+        } else {
+          requests.add(checked(JSON.treeToValue(tree, TraceRequest.class)));
+        }
+      } catch (JsonProcessingException | IllegalArgumentException e) {
+        return Result.failed(new ReplayFailure.Malformed(file, i + 1, firstLine(e)));
+      }
+    }
+    requests.sort(Comparator.comparingLong(TraceRequest::getAtMs));
+    events.sort(Comparator.comparingLong(TraceEvent::getAtMs));
+    return Result.success(new Trace(name, requests, events));
+  }
+
+  static Result<ReplaySettings> readSettings(Path file) {
+    try {
+      return Result.success(JSON.readValue(Files.readAllBytes(file), ReplaySettings.class));
+    } catch (JsonProcessingException e) {
+      return Result.failed(new ReplayFailure.Malformed(file.toString(), 0, firstLine(e)));
+    } catch (IOException e) {
+      return Result.failed(new ReplayFailure.FileUnusable(file.toString(), e.toString()));
+    }
+  }
+
+  static Result<ReplaySettings> builtInSettings(String deployment) {
+    String resource = deployment + ".json";
+    try (InputStream in = TraceFiles.class.getResourceAsStream(resource)) {
+      return in == null
+          ? Result.failed(
+              new ReplayFailure.UnknownName("deployment", deployment, "th-central, luzon"))
+          : Result.success(JSON.readValue(in, ReplaySettings.class));
+    } catch (IOException e) {
+      return Result.failed(new ReplayFailure.FileUnusable(resource, e.toString()));
+    }
+  }
+
+  static String format(Trace trace) {
+    Map<Long, List<String>> lines = new TreeMap<>();
+    trace.events().forEach(e -> line(lines, e.getAtMs(), e));
+    trace.requests().forEach(r -> line(lines, r.getAtMs(), r));
+    StringBuilder text = new StringBuilder();
+    lines.values().forEach(group -> group.forEach(l -> text.append(l).append('\n')));
+    return text.toString();
+  }
+
+  static String encode(Object message) {
+    try {
+      return JSON.writeValueAsString(message);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("A generated class cannot be encoded", e);
+    }
+  }
+
+  private static void line(Map<Long, List<String>> lines, long atMs, Object message) {
+    lines.computeIfAbsent(atMs, at -> new ArrayList<>()).add(encode(message));
+  }
+
+  private static TraceRequest checked(TraceRequest request) {
+    if (request.getTeam() == null || request.getRoute() == null || request.getPrefix() == null) {
+      throw new IllegalArgumentException("a request needs a team, a route and a prefix");
+    }
+    if (request.getPromptTokens() < 1 || request.getOutputTokens() < 1) {
+      throw new IllegalArgumentException("prompt_tokens and output_tokens must be at least 1");
+    }
+    return request;
+  }
+
+  private static String name(Path file) {
+    String name = String.valueOf(file.getFileName());
+    return name.endsWith(EXTENSION) ? name.substring(0, name.length() - EXTENSION.length()) : name;
+  }
+
+  private static String firstLine(Exception e) {
+    return String.valueOf(e.getMessage()).lines().findFirst().orElse("");
+  }
+}
--- /dev/null
+++ b/samphiregauge-replay/src/main/java/io/samphiregauge/replay/TraceShape.java
@@ -0,0 +1,64 @@
+package io.samphiregauge.replay;
+
+import io.samphiregauge.schema.replay.TraceEvent;
+import io.samphiregauge.schema.replay.TraceEventKind;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Function;
+
+/**
+ * What happens in a trace, without the random part.
+ *
+ * @param phases stretches in order
+ * @param events events, given the failure domains of the deployment
+ * @param crashesAtMs arrivals of a request that crashes engines and is sent again by its caller
+ */
+record TraceShape(
+    List<TracePhase> phases,
+    Function<List<String>, List<TraceEvent>> events,
+    List<Long> crashesAtMs) {
+  private static final List<TracePhase> SWING =
+      List.of(
+          TracePhase.calm(60),
+          TracePhase.promptHeavy(75),
+          TracePhase.outputHeavy(75),
+          TracePhase.calm(30));
+
+  /** Shapes by name. */
+  static Map<String, TraceShape> all() {
+    Map<String, TraceShape> shapes = new TreeMap<>();
+    shapes.put("calm", plain(List.of(TracePhase.calm(180))));
+    shapes.put("swing", plain(SWING));
+    shapes.put(
+        "storm", plain(List.of(TracePhase.calm(60), TracePhase.storm(60), TracePhase.calm(60))));
+    shapes.put("reclaim", withEvents(SWING, TraceShape::reclaim));
+    shapes.put("outage", withEvents(SWING, TraceShape::outage));
+    shapes.put(
+        "crash",
+        new TraceShape(
+            List.of(TracePhase.calm(120)),
+            domains -> List.of(),
+            List.of(30_000L, 50_000L, 70_000L)));
+    return shapes;
+  }
+
+  private static TraceShape plain(List<TracePhase> phases) {
+    return withEvents(phases, domains -> List.of());
+  }
+
+  private static TraceShape withEvents(
+      List<TracePhase> phases, Function<List<String>, List<TraceEvent>> events) {
+    return new TraceShape(phases, events, List.of());
+  }
+
+  private static List<TraceEvent> reclaim(List<String> domains) {
+    return List.of(new TraceEvent(100_000, TraceEventKind.RECLAIM_DOMAIN, domains.get(1)));
+  }
+
+  private static List<TraceEvent> outage(List<String> domains) {
+    return List.of(
+        new TraceEvent(50_000, TraceEventKind.LOG_OUTAGE, ""),
+        new TraceEvent(170_000, TraceEventKind.LOG_BACK, ""));
+  }
+}
