--- a/samphiregauge-replay/src/main/java/io/samphiregauge/replay/Policies.java
+++ b/samphiregauge-replay/src/main/java/io/samphiregauge/replay/Policies.java
@@ -1,8 +1,9 @@
 package io.samphiregauge.replay;
 
 import io.samphiregauge.core.fleet.FleetEngine;
-import io.samphiregauge.core.fleet.FleetPolicyDecision;
+import io.samphiregauge.core.fleet.FleetPolicies;
 import io.samphiregauge.core.fleet.FleetView;
+import io.samphiregauge.core.fleet.RolePolicies;
 import io.samphiregauge.core.fleet.RolePolicy;
 import io.samphiregauge.core.route.PlacementPolicies;
 import io.samphiregauge.core.route.PlacementPolicy;
@@ -22,11 +23,6 @@
   static final String TWO_CHOICES = "two_choices";
   static final String REACTIVE = "reactive";
 
-  private static final RolePolicy FIXED_ROLES =
-      (memory, view) -> new RolePolicy.Decision(memory, List.of());
-  private static final FleetPolicyDecision FIXED_FLEET =
-      (memory, view) -> new FleetPolicyDecision.Decision(memory, List.of(), List.of());
-
   private static final Map<String, PolicySet> BY_NAME = new TreeMap<>();
 
   static {
@@ -37,8 +33,8 @@
             placement(PlacementPolicies.PREDICTED),
             true,
             true,
-            FIXED_ROLES,
-            FIXED_FLEET));
+            RolePolicies.costAndBenefit(),
+            FleetPolicies.fixed()));
     add(
         new PolicySet(
             STATIC,
@@ -46,8 +42,8 @@
             placement("least_load"),
             true,
             false,
-            FIXED_ROLES,
-            FIXED_FLEET));
+            RolePolicies.fixed(),
+            FleetPolicies.fixed()));
     add(
         new PolicySet(
             TWO_CHOICES,
@@ -55,8 +51,8 @@
             placement("two_choices"),
             true,
             false,
-            FIXED_ROLES,
-            FIXED_FLEET));
+            RolePolicies.fixed(),
+            FleetPolicies.fixed()));
     add(
         new PolicySet(
             REACTIVE,
@@ -65,7 +61,7 @@
             true,
             false,
             Policies::react,
-            FIXED_FLEET));
+            FleetPolicies.fixed()));
   }
 
   private Policies() {}
