--- a/samphiregauge-net/src/test/java/io/samphiregauge/net/CodecTest.java
+++ b/samphiregauge-net/src/test/java/io/samphiregauge/net/CodecTest.java
@@ -8,7 +8,7 @@
 import io.samphiregauge.schema.order.EngineRole;
 import io.samphiregauge.schema.peer.RecordAt;
 import io.samphiregauge.schema.peer.RecordsReply;
-import io.samphiregauge.schema.peer.SuspicionAck;
+import io.samphiregauge.schema.peer.UsageQuery;
 import io.samphiregauge.schema.record.Ended;
 import io.samphiregauge.schema.record.Incarnation;
 import io.samphiregauge.schema.record.LogRecord;
@@ -33,8 +33,8 @@
 
   @Test
   void namesTheKindInJson() {
-    String json = new String(Codec.json().encode(new SuspicionAck(3L)), StandardCharsets.UTF_8);
-    assertThat(json).isEqualTo("{\"kind\":\"SuspicionAck\",\"number\":3}");
+    String json = new String(Codec.json().encode(new UsageQuery(3L)), StandardCharsets.UTF_8);
+    assertThat(json).isEqualTo("{\"kind\":\"UsageQuery\",\"window\":3}");
   }
 
   @Test
