--- a/samphiregauge-bench/src/main/java/io/samphiregauge/bench/MessageSizes.java
+++ b/samphiregauge-bench/src/main/java/io/samphiregauge/bench/MessageSizes.java
@@ -1,17 +1,25 @@
 package io.samphiregauge.bench;
 
 import io.samphiregauge.net.Codec;
+import io.samphiregauge.schema.RecordBody;
+import io.samphiregauge.schema.order.Drain;
 import io.samphiregauge.schema.peer.LoadDigest;
 import io.samphiregauge.schema.peer.Member;
 import io.samphiregauge.schema.peer.MemberExchange;
 import io.samphiregauge.schema.peer.MemberState;
 import io.samphiregauge.schema.peer.Probe;
+import io.samphiregauge.schema.peer.RecordAt;
 import io.samphiregauge.schema.peer.SuspicionNotice;
 import io.samphiregauge.schema.peer.TeamLoad;
 import io.samphiregauge.schema.peer.UsageCopy;
 import io.samphiregauge.schema.peer.UsageCounter;
 import io.samphiregauge.schema.record.Incarnation;
+import io.samphiregauge.schema.record.Joined;
+import io.samphiregauge.schema.record.LeaseRenewal;
+import io.samphiregauge.schema.record.LogRecord;
+import io.samphiregauge.schema.record.OrderIntent;
 import io.samphiregauge.schema.record.UsageFigure;
+import io.samphiregauge.schema.record.UsageSealed;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.List;
@@ -38,6 +46,27 @@
     print("usage_copy", n -> new UsageCopy(process(0), 1L, list(n, MessageSizes::counter)));
     print("load_digest", n -> new LoadDigest(process(0), 1L, list(n, MessageSizes::teamLoad)));
     print("suspicion_notice", MessageSizes::notice);
+    printRecord("lease_renewal", new LeaseRenewal("fleet/th-central", 123_456L));
+    printRecord("joined", joined());
+    printRecord("order_intent", new OrderIntent("engine-1", 123_456L, new Drain("replaced")));
+    printRecord("usage_sealed_of_8", sealed(SMALL));
+    printRecord("usage_sealed_of_64", sealed(MIDDLE));
+    printRecord("usage_sealed_of_560", sealed(LARGE));
+  }
+
+  private static void printRecord(String name, RecordBody body) {
+    LogRecord log = new LogRecord(process(0), 123L, body);
+    int bytes = Codec.json().encode(new RecordAt(123_456L, log)).length;
+    LOG.log(Level.INFO, "message={0} json_bytes={1}", name, bytes);
+  }
+
+  private static Joined joined() {
+    return new Joined("th-central", "th-central-a", "10.20.30.40:8080", "10.20.30.40:9090");
+  }
+
+  private static UsageSealed sealed(int count) {
+    List<UsageFigure> figures = list(count, i -> counter(i).getFigure());
+    return new UsageSealed("th-central", 29_833_333L, 123_456L, figures, List.of());
   }
 
   private static void print(String name, IntFunction<Object> message) {
