Keep a view of the living entries by gossip

Membership probes one member a second, three of four inside its failure domain, asks three others before it suspects, and lets a suspicion be refuted for 4 s. Whole lists would cost 8.6 KB/s at 560 members (two lists of 129 KB each 30 s), over the budget of 5 KB/s, so members compare hashes of 64 buckets and exchange only the buckets that differ.

--- /dev/null
+++ b/samphiregauge-bench/src/main/java/io/samphiregauge/bench/GossipExperiment.java
@@ -0,0 +1,98 @@
+package io.samphiregauge.bench;
+
+import io.samphiregauge.schema.peer.MemberState;
+import java.io.PrintStream;
+import java.lang.management.ManagementFactory;
+import java.util.Arrays;
+import java.util.function.Predicate;
+
+/** Measures the cost of membership per node, and how fast a death and a refutation spread. */
+public final class GossipExperiment {
+  private static final int[] SIZES = {8, 64, 560};
+  private static final int TRIALS = 5;
+  private static final long CALM_MS = 60_000;
+  private static final long LIMIT_MS = 120_000;
+  private static final long ISOLATION_MS = 3_000;
+
+  private GossipExperiment() {}
+
+  /**
+   * Prints one line for each size.
+   *
+   * @param args seed of the first trial and sizes; without them 1, and 8, 64 and 560 members
+   */
+  public static void main(String[] args) {
+    long seed = args.length > 0 ? Long.parseLong(args[0]) : 1;
+    int[] sizes =
+        args.length > 1 ? Arrays.stream(args).skip(1).mapToInt(Integer::parseInt).toArray() : SIZES;
+    for (int size : sizes) {
+      measure(size, seed, System.out);
+    }
+  }
+
+  private static void measure(int size, long seed, PrintStream out) {
+    long[] joins = new long[TRIALS];
+    long[] bytes = new long[TRIALS];
+    long[] cpuMicros = new long[TRIALS];
+    long[] deaths = new long[TRIALS];
+    long[] refutations = new long[TRIALS];
+    long falseDeaths = 0;
+    for (int i = 0; i < TRIALS; i++) {
+      GossipNetwork network = new GossipNetwork(size, seed + i);
+      joins[i] = time(network, GossipNetwork::allKnowAll);
+      network.runUntil(CALM_MS, n -> false);
+      cpuMicros[i] = calm(network, size, bytes, i);
+      network.setDown(size / 2, true);
+      deaths[i] = time(network, n -> n.allSee(size / 2, state -> state == MemberState.DEAD));
+      network.runUntil(CALM_MS, n -> false);
+      refutations[i] = refute(network);
+      falseDeaths += network.countSeeing(1, state -> state == MemberState.DEAD);
+    }
+    out.printf(
+        "nodes=%d trials=%d join_ms=%s bytes_per_s=%s cpu_us_per_s=%s death_known_ms=%s"
+            + " refuted_ms=%s false_deaths=%d%n",
+        size,
+        TRIALS,
+        spread(joins),
+        spread(bytes),
+        spread(cpuMicros),
+        spread(deaths),
+        spread(refutations),
+        falseDeaths);
+  }
+
+  /** Stores the bytes that a node sends in a second, and returns its microseconds of a core. */
+  private static long calm(GossipNetwork network, int size, long[] bytes, int trial) {
+    long bytesBefore = network.bytes();
+    long cpuBefore = cpuNanos();
+    network.runUntil(CALM_MS, n -> false);
+    long nodeSeconds = size * CALM_MS / 1_000;
+    bytes[trial] = (network.bytes() - bytesBefore) / nodeSeconds;
+    return (cpuNanos() - cpuBefore) / 1_000 / nodeSeconds;
+  }
+
+  /** Isolates a running member, and times from its return until nobody doubts it. */
+  private static long refute(GossipNetwork network) {
+    network.setDown(1, true);
+    network.runUntil(ISOLATION_MS, n -> false);
+    network.setDown(1, false);
+    return time(
+        network,
+        n -> n.countSeeing(1, s -> s == MemberState.SUSPECT || s == MemberState.DEAD) == 0);
+  }
+
+  private static long time(GossipNetwork network, Predicate<GossipNetwork> done) {
+    long startMs = network.nowMs();
+    return network.runUntil(LIMIT_MS, done) ? network.nowMs() - startMs : -1;
+  }
+
+  private static long cpuNanos() {
+    return ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
+  }
+
+  private static String spread(long[] values) {
+    long[] sorted = values.clone();
+    Arrays.sort(sorted);
+    return "%d(%d..%d)".formatted(sorted[TRIALS / 2], sorted[0], sorted[TRIALS - 1]);
+  }
+}
--- /dev/null
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/member/MembershipTest.java
@@ -0,0 +1,184 @@
+package io.samphiregauge.core.member;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.samphiregauge.core.RandomSource;
+import io.samphiregauge.core.Step;
+import io.samphiregauge.schema.PeerMessage;
+import io.samphiregauge.schema.peer.IndirectProbe;
+import io.samphiregauge.schema.peer.Member;
+import io.samphiregauge.schema.peer.MemberState;
+import io.samphiregauge.schema.peer.Probe;
+import io.samphiregauge.schema.peer.ProbeAck;
+import io.samphiregauge.schema.record.Incarnation;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** Guards against deaths that go unnoticed, live members that stay dead, and split views. */
+class MembershipTest {
+  private static final int MEMBERS = 8;
+
+  @Test
+  void everyMemberLearnsOfADeathAndNobodyElseIsDoubted() {
+    Group group = new Group(MEMBERS, 1);
+    group.run(30_000);
+    assertThat(group.count(MemberState.ALIVE)).isEqualTo(MEMBERS * (MEMBERS - 1));
+    group.down.add(3);
+    // Detection within 5 s, 1 s to suspect, 4 s to confirm, and 5 s to spread.
+    group.run(15_000);
+    assertThat(group.count(MemberState.DEAD)).isEqualTo(MEMBERS - 1);
+    assertThat(group.count(MemberState.SUSPECT)).isZero();
+  }
+
+  @Test
+  void aMemberThatComesBackRefutesItsDeath() {
+    Group group = new Group(MEMBERS, 2);
+    group.run(30_000);
+    group.down.add(3);
+    group.run(20_000);
+    assertThat(group.count(MemberState.DEAD)).isEqualTo(MEMBERS - 1);
+    group.down.clear();
+    group.run(90_000);
+    assertThat(group.count(MemberState.ALIVE)).isEqualTo(MEMBERS * (MEMBERS - 1));
+  }
+
+  @Test
+  void anUnreachableLinkIsBridgedByIndirectProbes() {
+    Group group = new Group(MEMBERS, 3);
+    group.run(30_000);
+    group.cutLinks.add(Set.of(0, 1));
+    group.run(60_000);
+    assertThat(group.count(MemberState.DEAD)).isZero();
+    assertThat(group.sent).anyMatch(IndirectProbe.class::isInstance);
+  }
+
+  @Test
+  void bothHalvesOfAPartitionFindEachOtherAgain() {
+    Group group = new Group(MEMBERS, 4);
+    group.run(30_000);
+    for (int i = 0; i < 4; i++) {
+      for (int j = 4; j < MEMBERS; j++) {
+        group.cutLinks.add(Set.of(i, j));
+      }
+    }
+    group.run(60_000);
+    assertThat(group.count(MemberState.DEAD)).isEqualTo(2 * 4 * 4);
+    group.cutLinks.clear();
+    group.run(120_000);
+    assertThat(group.count(MemberState.ALIVE)).isEqualTo(MEMBERS * (MEMBERS - 1));
+  }
+
+  @Test
+  void aPausedProcessSuspectsNobodyForAnswersItHasNotRead() {
+    Group group = new Group(MEMBERS, 5);
+    group.run(30_000);
+    Membership paused = group.members.get(0);
+    long wakeMs = group.nowMs + 60_000;
+    Step<Membership, MemberAction> step = paused.on(new MemberEvent.Tick(), wakeMs, group.random);
+    assertThat(step.actions()).noneMatch(MemberAction.Changed.class::isInstance);
+  }
+
+  @Test
+  void aNewProcessOfAVmReplacesTheOldOneAndIsNotReplacedByIt() {
+    Membership one = Membership.of(Group.member(0, 1), List.of(), 0);
+    RandomSource zero = () -> 0;
+    Membership old = one.on(hello(Group.member(1, 5)), 0, zero).state();
+    Membership next = old.on(hello(Group.member(1, 9)), 0, zero).state();
+    Membership late = next.on(hello(Group.member(1, 5)), 0, zero).state();
+    assertThat(late.find("vm1").orElseThrow().member().getIncarnation().getStartMs()).isEqualTo(9);
+  }
+
+  @Test
+  void theAgeOfALogContactGrowsOnTheWay() {
+    RandomSource zero = () -> 0;
+    Membership one = Membership.of(Group.member(0, 1), List.of(), 0);
+    Membership knowing =
+        one.on(new MemberEvent.Progress(7, OptionalLong.of(100)), 100, zero).state();
+    Step<Membership, MemberAction> step = knowing.on(hello(Group.member(1, 1)), 350, zero);
+    ProbeAck ack =
+        (ProbeAck) ((MemberAction.Send) step.actions().get(step.actions().size() - 1)).message();
+    assertThat(ack.getSender().getLogContactAgeMs()).isEqualTo(250);
+    assertThat(ack.getSender().getAppliedOffset()).isEqualTo(7);
+  }
+
+  private static MemberEvent hello(Member sender) {
+    return new MemberEvent.Received(new Probe(1, sender, List.of()));
+  }
+
+  /** Members in virtual time that hand each other messages without delay. */
+  private static final class Group {
+    final RandomSource random;
+    final List<Membership> members = new ArrayList<>();
+    final Set<Integer> down = new HashSet<>();
+    final Set<Set<Integer>> cutLinks = new HashSet<>();
+    final List<PeerMessage> sent = new ArrayList<>();
+    long nowMs;
+
+    Group(int count, long seed) {
+      SplittableRandom numbers = new SplittableRandom(seed);
+      random = numbers::nextLong;
+      for (int i = 0; i < count; i++) {
+        members.add(Membership.of(member(i, 1), List.of("0"), 0));
+      }
+    }
+
+    static Member member(int index, long startMs) {
+      return new Member(
+          new Incarnation("vm" + index, startMs, 1L),
+          "luzon",
+          "domain" + index / 4,
+          "127.0.0.1:80",
+          Integer.toString(index),
+          MemberState.ALIVE,
+          0,
+          0,
+          0);
+    }
+
+    void run(long ms) {
+      for (long end = nowMs + ms; nowMs < end; nowMs += 10) {
+        for (int i = 0; i < members.size(); i++) {
+          if (members.get(i).deadlineMs() <= nowMs) {
+            step(i, new MemberEvent.Tick());
+          }
+        }
+      }
+    }
+
+    private void step(int index, MemberEvent event) {
+      if (down.contains(index)) {
+        return;
+      }
+      Step<Membership, MemberAction> step = members.get(index).on(event, nowMs, random);
+      members.set(index, step.state());
+      for (MemberAction action : step.actions()) {
+        if (action instanceof MemberAction.Send send) {
+          sent.add(send.message());
+          int to = Integer.parseInt(send.peerAddress());
+          if (!cutLinks.contains(Set.of(index, to)) && !down.contains(to)) {
+            step(to, new MemberEvent.Received(send.message()));
+          }
+        }
+      }
+    }
+
+    long count(MemberState state) {
+      long count = 0;
+      for (int i = 0; i < members.size(); i++) {
+        if (!down.contains(i)) {
+          count += members.get(i).others().stream().filter(k -> is(k, state)).count();
+        }
+      }
+      return count;
+    }
+
+    private static boolean is(Known known, MemberState state) {
+      return known.member().getState() == state;
+    }
+  }
+}
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/Codec.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/Codec.java
@@ -20,7 +20,9 @@
 import io.samphiregauge.schema.order.StopBackend;
 import io.samphiregauge.schema.peer.IndirectProbe;
 import io.samphiregauge.schema.peer.LoadDigest;
+import io.samphiregauge.schema.peer.MemberDigest;
 import io.samphiregauge.schema.peer.MemberExchange;
+import io.samphiregauge.schema.peer.OutageReport;
 import io.samphiregauge.schema.peer.Probe;
 import io.samphiregauge.schema.peer.ProbeAck;
 import io.samphiregauge.schema.peer.RecordsReply;
@@ -82,6 +84,8 @@
           ProbeAck.class,
           IndirectProbe.class,
           MemberExchange.class,
+          MemberDigest.class,
+          OutageReport.class,
           RecordsRequest.class,
           RecordsReply.class,
           UsageCopy.class,
