--- /dev/null
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/member/OutageReportsTest.java
@@ -0,0 +1,115 @@
+package io.samphiregauge.core.member;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.samphiregauge.core.RandomSource;
+import io.samphiregauge.core.Step;
+import io.samphiregauge.core.member.OutageReports.View;
+import io.samphiregauge.schema.peer.Member;
+import io.samphiregauge.schema.peer.MemberState;
+import io.samphiregauge.schema.peer.OutageQuery;
+import io.samphiregauge.schema.peer.OutageReport;
+import io.samphiregauge.schema.record.Incarnation;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** Guards against entries that serve on old knowledge, or stop serving while the log is down. */
+class OutageReportsTest {
+  private static final int MEMBERS = 9;
+  private final SplittableRandom numbers = new SplittableRandom(1);
+  private final RandomSource random = numbers::nextLong;
+  private final List<Incarnation> processes = new ArrayList<>();
+  private final List<Known> known = new ArrayList<>();
+  private final List<OutageReports> states = new ArrayList<>();
+
+  OutageReportsTest() {
+    for (int i = 0; i < MEMBERS; i++) {
+      Incarnation process = new Incarnation("vm" + i, 1L, 1L);
+      processes.add(process);
+      states.add(OutageReports.of("vm" + i));
+      Member member =
+          new Member(process, "luzon", "a", "", Integer.toString(i), MemberState.ALIVE, 0, 0, 0);
+      known.add(new Known(member, 0, OptionalLong.empty()));
+    }
+  }
+
+  private View view(long offset, OptionalLong contactMs) {
+    return new View(offset, processes, contactMs);
+  }
+
+  /** Lets some members ask each other for a while; the others do not answer. */
+  private void run(long fromMs, long toMs, int reachable, View view) {
+    for (long nowMs = fromMs; nowMs <= toMs; nowMs += 50) {
+      for (int i = 0; i < reachable; i++) {
+        Step<OutageReports, MemberAction> step =
+            states.get(i).tick(view, known.subList(0, reachable), nowMs, random);
+        states.set(i, step.state());
+        for (MemberAction action : step.actions()) {
+          MemberAction.Send send = (MemberAction.Send) action;
+          int to = Integer.parseInt(send.peerAddress());
+          OutageReport report =
+              states.get(to).answer((OutageQuery) send.message(), processes.get(to), view, nowMs);
+          states.set(i, states.get(i).received(report, view));
+        }
+      }
+    }
+  }
+
+  @Test
+  void aMajorityWithoutLogContactIsFoundWithinThreeSeconds() {
+    View lost = view(5, OptionalLong.of(0));
+    run(2_050, 5_050, 5, lost);
+    assertThat(states.get(0).majorityMs(lost, 5_050)).isPresent();
+  }
+
+  @Test
+  void aMinorityNeverCounts() {
+    View lost = view(5, OptionalLong.of(0));
+    run(2_050, 12_000, 4, lost);
+    assertThat(states.get(0).majorityMs(lost, 12_000)).isEmpty();
+  }
+
+  @Test
+  void aMajorityEndsOnceItsReportsAreOld() {
+    View lost = view(5, OptionalLong.of(0));
+    run(2_050, 5_050, MEMBERS, lost);
+    assertThat(states.get(0).majorityMs(lost, 5_050 + OutageReports.REPORT_MS + 1)).isEmpty();
+  }
+
+  @Test
+  void aMemberWithLogContactReportsNothingAndAsksNobody() {
+    View lost = view(5, OptionalLong.of(0));
+    run(2_050, 5_050, MEMBERS, lost);
+    View back = view(5, OptionalLong.of(5_000));
+    OutageReport report =
+        states.get(0).answer(new OutageQuery(1, 5), processes.get(0), back, 5_050);
+    assertThat(report.getAges()).containsOnly(OutageReports.NO_REPORT);
+    Step<OutageReports, MemberAction> step = states.get(0).tick(back, known, 5_050, random);
+    assertThat(step.actions()).isEmpty();
+    assertThat(step.state().reportsMs()).isEmpty();
+  }
+
+  @Test
+  void anAnswerThatWasReadLateCountsFromItsQuestion() {
+    View lost = view(5, OptionalLong.of(0));
+    Step<OutageReports, MemberAction> step = states.get(0).tick(lost, known, 3_000, random);
+    OutageQuery query = (OutageQuery) ((MemberAction.Send) step.actions().get(0)).message();
+    OutageReport report = states.get(1).answer(query, processes.get(1), lost, 3_001);
+    OutageReports late = step.state().received(report, lost);
+    assertThat(late.reportsMs()).containsEntry("vm1", 3_000L);
+    assertThat(late.received(report, lost)).isEqualTo(late);
+  }
+
+  @Test
+  void anAnswerForAnotherListOfProcessesIsIgnored() {
+    View lost = view(5, OptionalLong.of(0));
+    Step<OutageReports, MemberAction> step = states.get(0).tick(lost, known, 3_000, random);
+    OutageQuery query = (OutageQuery) ((MemberAction.Send) step.actions().get(0)).message();
+    View ahead = view(6, OptionalLong.of(0));
+    OutageReport report = states.get(1).answer(query, processes.get(1), ahead, 3_001);
+    assertThat(step.state().received(report, lost).reportsMs()).containsOnlyKeys("vm0");
+  }
+}
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/Codec.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/Codec.java
@@ -26,7 +26,9 @@
 import io.samphiregauge.schema.peer.LoadDigest;
 import io.samphiregauge.schema.peer.MemberDigest;
 import io.samphiregauge.schema.peer.MemberExchange;
+import io.samphiregauge.schema.peer.OutageQuery;
 import io.samphiregauge.schema.peer.OutageReport;
+import io.samphiregauge.schema.peer.PeerHello;
 import io.samphiregauge.schema.peer.Probe;
 import io.samphiregauge.schema.peer.ProbeAck;
 import io.samphiregauge.schema.peer.RecordsReply;
@@ -92,6 +94,8 @@
           MemberExchange.class,
           MemberDigest.class,
           OutageReport.class,
+          OutageQuery.class,
+          PeerHello.class,
           RecordsRequest.class,
           RecordsReply.class,
           UsageCopy.class,
