--- /dev/null
+++ b/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/CommonOptions.java
@@ -0,0 +1,25 @@
+package io.samphiregauge.ctl;
+
+import com.beust.jcommander.Parameter;
+import java.util.Map;
+import java.util.Optional;
+
+/** Options that every command takes. */
+final class CommonOptions {
+  static final String LOG_VARIABLE = "SAMPHIRE_LOG";
+
+  @Parameter(names = "--json", description = "Print JSON for programs instead of a table")
+  boolean json;
+
+  @Parameter(
+      names = "--log",
+      description = "Base URL of the log service; " + LOG_VARIABLE + " where absent")
+  private String log;
+
+  @Parameter(names = "--help", help = true, description = "Print the usage of the command")
+  boolean help;
+
+  Optional<String> logUrl(Map<String, String> environment) {
+    return Optional.ofNullable(log).or(() -> Optional.ofNullable(environment.get(LOG_VARIABLE)));
+  }
+}
--- /dev/null
+++ b/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/Main.java
@@ -0,0 +1,146 @@
+package io.samphiregauge.ctl;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import io.samphiregauge.core.result.Failure;
+import io.samphiregauge.core.result.Result;
+import io.samphiregauge.ctl.Commands.Registered;
+import io.samphiregauge.net.Codec;
+import io.samphiregauge.schema.ctl.ErrorReport;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** The binary {@code samphirectl}. Exit codes: 0 done, 1 failed, 2 wrong command line. */
+public final class Main {
+  static final int DONE = 0;
+  static final int FAILED = 1;
+  static final int WRONG_USAGE = 2;
+
+  private static final String NAME = "samphirectl";
+
+  private final PrintStream out;
+  private final PrintStream err;
+  private final Map<String, String> environment;
+  private final Map<String, Registered> commands = Commands.all();
+  private final GlobalOptions global = new GlobalOptions();
+
+  private Main(PrintStream out, PrintStream err, Map<String, String> environment) {
+    this.out = out;
+    this.err = err;
+    this.environment = environment;
+  }
+
+  /** Options before the command. */
+  private static final class GlobalOptions {
+    @Parameter(names = "--help", help = true, description = "Print the usage")
+    private boolean help;
+
+    @Parameter(names = "--version", description = "Print the version")
+    private boolean version;
+  }
+
+  /**
+   * Runs a command and exits.
+   *
+   * @param args command line
+   */
+  public static void main(String[] args) {
+    System.exit(run(args, System.out, System.err, System.getenv()));
+  }
+
+  /**
+   * Runs a command.
+   *
+   * @param args command line
+   * @param out receives the result
+   * @param err receives errors
+   * @param environment environment variables
+   * @return exit code
+   */
+  public static int run(
+      String[] args, PrintStream out, PrintStream err, Map<String, String> environment) {
+    return new Main(out, err, environment).run(args);
+  }
+
+  private int run(String[] args) {
+    JCommander parser = JCommander.newBuilder().programName(NAME).addObject(global).build();
+    commands.forEach((name, command) -> parser.addCommand(name, command.options()));
+    try {
+      parser.parse(args);
+    } catch (ParameterException e) {
+      err.println(NAME + ": " + e.getMessage());
+      return WRONG_USAGE;
+    }
+    if (global.version) {
+      out.println(NAME + " " + version());
+      return DONE;
+    }
+    Optional<String> name = Optional.ofNullable(parser.getParsedCommand());
+    if (global.help || name.isEmpty()) {
+      commandList().forEach(global.help ? out::println : err::println);
+      return global.help ? DONE : WRONG_USAGE;
+    }
+    Registered registered = commands.get(name.get());
+    if (registered.options().common().help) {
+      printUsage(parser.getCommands().get(name.get()), name.get());
+      return DONE;
+    }
+    return runCommand(registered);
+  }
+
+  private List<String> commandList() {
+    List<String> lines = new ArrayList<>();
+    lines.add("Usage: %s [--help] [--version] COMMAND [options]".formatted(NAME));
+    commands.forEach(
+        (name, command) -> lines.add("  %-10s %s".formatted(name, command.description())));
+    lines.add("%s COMMAND --help lists the options of a command.".formatted(NAME));
+    return lines;
+  }
+
+  private void printUsage(JCommander command, String name) {
+    command.setProgramName(NAME + " " + name);
+    StringBuilder text = new StringBuilder();
+    command.getUsageFormatter().usage(text);
+    out.print(text);
+  }
+
+  private int runCommand(Registered registered) {
+    CommonOptions options = registered.options().common();
+    try (Session session = new Session(options.logUrl(environment))) {
+      Result<Report> result = registered.command().run(session);
+      return result.fold(
+          report -> print(report, options.json), failure -> print(failure, options.json));
+    }
+  }
+
+  private int print(Report report, boolean json) {
+    if (json) {
+      out.println(json(report.message()));
+    } else {
+      report.lines().forEach(out::println);
+    }
+    return DONE;
+  }
+
+  private int print(Failure failure, boolean json) {
+    err.println(
+        json
+            ? json(new ErrorReport(failure.type(), failure.message()))
+            : "%s: %s: %s".formatted(NAME, failure.type(), failure.message()));
+    return failure instanceof CtlFailure.Usage ? WRONG_USAGE : FAILED;
+  }
+
+  private static String version() {
+    return Optional.ofNullable(Main.class.getPackage().getImplementationVersion())
+        .orElse("unpackaged");
+  }
+
+  private static String json(Object message) {
+    return new String(Codec.json().encode(message), StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/NoteRun.java
@@ -0,0 +1,84 @@
+package io.samphiregauge.ctl;
+
+import io.samphiregauge.core.result.Result;
+import io.samphiregauge.schema.ctl.ApplyReport;
+import io.samphiregauge.schema.ctl.EntryState;
+import io.samphiregauge.schema.record.Incarnation;
+import io.samphiregauge.schema.record.Note;
+import java.security.SecureRandom;
+import java.util.List;
+import java.util.function.Function;
+
+/** Applies a note and asks the entries whether it is in force. */
+final class NoteRun {
+  /** A configuration is in force everywhere within 4 s of its acceptance. */
+  private static final long[] PAUSES_MS = {0, 100, 400, 1_000, 2_500};
+
+  private static final SecureRandom RANDOM = new SecureRandom();
+
+  private NoteRun() {}
+
+  /** Returns the name under which notes are applied where nothing else is given. */
+  static String operator() {
+    return System.getProperty("user.name", "operator");
+  }
+
+  /**
+   * Applies a note.
+   *
+   * @param note makes the note for the log as it is
+   */
+  static Result<NoteAppender.Accepted> append(
+      Session session, Function<LogView, Result<Note>> note) {
+    return session
+        .log()
+        .flatMap(
+            log ->
+                log.readAll()
+                    .flatMap(
+                        view ->
+                            note.apply(view)
+                                .flatMap(
+                                    made ->
+                                        new NoteAppender(log, incarnation(), session::pause)
+                                            .apply(view, made))));
+  }
+
+  /** Asks the entries until the note is in force on all, or the time for that is over. */
+  static ApplyReport confirm(Session session, NoteAppender.Accepted accepted) {
+    List<EntryClient.Target> targets = EntryClient.live(accepted.view().state());
+    List<EntryState> states = List.of();
+    for (long pauseMs : PAUSES_MS) {
+      session.pause(pauseMs);
+      states = session.entries().ask(targets);
+      if (inForce(states, accepted) == targets.size()) {
+        break;
+      }
+    }
+    return new ApplyReport(
+        accepted.offset(),
+        accepted.note().getAuthor(),
+        NoteFiles.summary(accepted.note()),
+        inForce(states, accepted),
+        states);
+  }
+
+  static Report report(ApplyReport applied) {
+    return Report.of(
+        applied,
+        "The note at offset %d is accepted: %s."
+            .formatted(applied.getOffset(), applied.getSummary()),
+        "It is in force on %d of %d entries."
+            .formatted(applied.getEntriesInForce(), applied.getEntries().size()));
+  }
+
+  private static int inForce(List<EntryState> states, NoteAppender.Accepted accepted) {
+    return (int) states.stream().filter(s -> s.getNoteOffset() >= accepted.offset()).count();
+  }
+
+  /** Identifies this run; the fold counts no sequence numbers of writers that have not joined. */
+  private static Incarnation incarnation() {
+    return new Incarnation(
+        "samphirectl", System.currentTimeMillis(), RANDOM.nextLong(Long.MAX_VALUE));
+  }
+}
--- /dev/null
+++ b/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/Session.java
@@ -0,0 +1,59 @@
+package io.samphiregauge.ctl;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.samphiregauge.core.result.Result;
+import io.samphiregauge.net.Address;
+import io.samphiregauge.net.HttpCaller;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+
+/** Connections of one run of the command. */
+final class Session implements AutoCloseable {
+  private static final String SCHEME = "http://";
+
+  private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
+  private final HttpCaller caller = new HttpCaller(loops);
+  private final Optional<String> logUrl;
+
+  /**
+   * @param logUrl base URL of the log service, where the operator has named one
+   */
+  Session(Optional<String> logUrl) {
+    this.logUrl = logUrl;
+  }
+
+  /** Tells whether the operator has named a log. */
+  boolean hasLog() {
+    return logUrl.isPresent();
+  }
+
+  /** Returns the log, or that the operator has not named one. */
+  Result<LogClient> log() {
+    return logUrl
+        .<Result<String>>map(Result::success)
+        .orElseGet(
+            () ->
+                Result.failed(
+                    new CtlFailure.Usage(
+                        "The log is not known: give --log or set %s."
+                            .formatted(CommonOptions.LOG_VARIABLE))))
+        .flatMap(
+            url -> Address.parse(url.startsWith(SCHEME) ? url.substring(SCHEME.length()) : url))
+        .map(address -> new LogClient(caller, address));
+  }
+
+  EntryClient entries() {
+    return new EntryClient(caller);
+  }
+
+  /** Waits between two attempts. */
+  void pause(long waitMs) {
+    LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(waitMs));
+  }
+
+  @Override
+  public void close() {
+    loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+  }
+}
--- /dev/null
+++ b/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/ViewCommands.java
@@ -0,0 +1,199 @@
+package io.samphiregauge.ctl;
+
+import io.samphiregauge.core.log.FoldedState.WindowKey;
+import io.samphiregauge.core.log.LogReader.Read;
+import io.samphiregauge.core.result.Failure;
+import io.samphiregauge.core.result.Result;
+import io.samphiregauge.schema.ctl.EntryState;
+import io.samphiregauge.schema.ctl.HistoryLine;
+import io.samphiregauge.schema.ctl.HistoryReport;
+import io.samphiregauge.schema.ctl.StatusReport;
+import io.samphiregauge.schema.ctl.UsageLine;
+import io.samphiregauge.schema.ctl.UsageListing;
+import io.samphiregauge.schema.record.LeaseState;
+import io.samphiregauge.schema.record.Note;
+import io.samphiregauge.schema.record.UsageFigure;
+import io.samphiregauge.schema.record.UsageReported;
+import io.samphiregauge.schema.record.UsageSealed;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/** Commands that only show something. */
+final class ViewCommands {
+  private static final long NO_OFFSET = -1;
+
+  private ViewCommands() {}
+
+  /** Lists the notes of the log, accepted or not. */
+  static Result<Report> history(Session session) {
+    return session.log().flatMap(LogClient::readAll).map(ViewCommands::history);
+  }
+
+  /** Lists the sealed usage of the log. */
+  static Result<Report> usage(Session session) {
+    return session.log().flatMap(LogClient::readAll).map(ViewCommands::usage);
+  }
+
+  /**
+   * Shows the entries and the leases.
+   *
+   * @param addresses entries to ask, or those that have joined where the list is empty
+   */
+  static Result<Report> status(Session session, List<String> addresses) {
+    Result<LogView> view = session.log().flatMap(LogClient::readAll);
+    if (addresses.isEmpty()) {
+      return view.map(v -> status(session, view, EntryClient.live(v.state())));
+    }
+    List<EntryClient.Target> targets = addresses.stream().map(EntryClient.Target::at).toList();
+    return Result.success(status(session, view, targets));
+  }
+
+  private static Report status(
+      Session session, Result<LogView> view, List<EntryClient.Target> targets) {
+    List<EntryState> entries = session.entries().ask(targets);
+    StatusReport message =
+        new StatusReport(
+            view.value().map(v -> v.state().noteOffset()).orElse(NO_OFFSET),
+            view.value().map(LogView::nextOffset).orElse(NO_OFFSET),
+            entries,
+            view.value().map(v -> List.copyOf(v.state().leases().values())).orElse(List.of()),
+            view.failure().map(Failure::message).orElse(null));
+    String log =
+        view.fold(
+            v ->
+                "log: next offset %d, note in force at offset %d"
+                    .formatted(v.nextOffset(), v.state().noteOffset()),
+            failure -> "log: " + failure.message());
+    return Report.of(message, log).with(entryTable(entries)).with(leaseTable(message.getLeases()));
+  }
+
+  private static Table entryTable(List<EntryState> entries) {
+    return new Table(
+        List.of("VM", "DOMAIN", "ADDRESS", "READY", "FRESH", "NOTE", "LOG", "CALLS", "PROBLEM"),
+        entries.stream()
+            .map(
+                e ->
+                    List.of(
+                        e.getVm(),
+                        e.getFailureDomain(),
+                        e.getAddress(),
+                        yes(e.isReady()),
+                        yes(e.isFresh()),
+                        String.valueOf(e.getNoteOffset()),
+                        String.valueOf(e.getUpToOffset()),
+                        String.valueOf(e.getRunningCalls()),
+                        e.getProblem().orElse("")))
+            .toList());
+  }
+
+  private static Table leaseTable(List<LeaseState> leases) {
+    return new Table(
+        List.of("LEASE", "HOLDER", "TOKEN", "RELEASED"),
+        leases.stream()
+            .map(
+                lease ->
+                    List.of(
+                        lease.getRole(),
+                        lease.getHolder().getVm(),
+                        String.valueOf(lease.getToken()),
+                        yes(lease.isReleased())))
+            .toList());
+  }
+
+  private static Report history(LogView view) {
+    List<HistoryLine> lines =
+        view.folded().stream()
+            .filter(read -> read.at().getRecord().getBody() instanceof Note)
+            .map(ViewCommands::historyLine)
+            .toList();
+    Table table =
+        new Table(
+            List.of("OFFSET", "AUTHOR", "BUILDS ON", "ACCEPTED", "NOTE"),
+            lines.stream()
+                .map(
+                    line ->
+                        List.of(
+                            String.valueOf(line.getOffset()),
+                            line.getAuthor(),
+                            String.valueOf(line.getBuildsOnOffset()),
+                            yes(line.isAccepted()),
+                            line.getReason().orElse(line.getSummary())))
+                .toList());
+    return Report.of(new HistoryReport(view.firstOffset(), lines)).with(table);
+  }
+
+  private static HistoryLine historyLine(Read.Folded read) {
+    Note note = (Note) read.at().getRecord().getBody();
+    return new HistoryLine(
+        read.at().getOffset(),
+        note.getAuthor(),
+        note.getBuildsOnOffset(),
+        read.accepted(),
+        NoteFiles.summary(note),
+        read.rejection().map(Failure::message).orElse(null));
+  }
+
+  private static Report usage(LogView view) {
+    Set<WindowKey> reported =
+        accepted(view, UsageReported.class)
+            .map(r -> new WindowKey(r.getRegion(), r.getWindow()))
+            .collect(Collectors.toSet());
+    List<UsageLine> lines = new ArrayList<>();
+    accepted(view, UsageSealed.class).forEach(window -> addLines(lines, window, reported));
+    Table table =
+        new Table(
+            List.of(
+                "REGION",
+                "WINDOW",
+                "TEAM",
+                "MODEL",
+                "REQUESTS",
+                "PROMPT",
+                "OUTPUT",
+                "SPEND",
+                "KIND",
+                "REPORTED"),
+            lines.stream().map(ViewCommands::cells).toList());
+    return Report.of(new UsageListing(view.firstOffset(), lines)).with(table);
+  }
+
+  private static void addLines(List<UsageLine> lines, UsageSealed window, Set<WindowKey> reported) {
+    boolean known = reported.contains(new WindowKey(window.getRegion(), window.getWindow()));
+    for (UsageFigure figure : window.getFigures()) {
+      lines.add(new UsageLine(window.getRegion(), window.getWindow(), figure, false, known));
+    }
+    for (UsageFigure figure : window.getCorrections()) {
+      lines.add(new UsageLine(window.getRegion(), window.getWindow(), figure, true, known));
+    }
+  }
+
+  private static List<String> cells(UsageLine line) {
+    UsageFigure figure = line.getFigure();
+    return List.of(
+        line.getRegion(),
+        String.valueOf(line.getWindow()),
+        figure.getTeam(),
+        figure.getModel(),
+        String.valueOf(figure.getRequests()),
+        String.valueOf(figure.getPromptTokens()),
+        String.valueOf(figure.getOutputTokens()),
+        String.valueOf(figure.getSpendMicros()),
+        line.isCorrection() ? "correction" : "figure",
+        yes(line.isReported()));
+  }
+
+  private static <T> Stream<T> accepted(LogView view, Class<T> type) {
+    return view.folded().stream()
+        .filter(Read.Folded::accepted)
+        .map(read -> read.at().getRecord().getBody())
+        .filter(type::isInstance)
+        .map(type::cast);
+  }
+
+  private static String yes(boolean value) {
+    return value ? "yes" : "no";
+  }
+}
--- /dev/null
+++ b/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** The command {@code samphirectl} for operators, and the demo. */
+package io.samphiregauge.ctl;
