--- /dev/null
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Deployment.java
@@ -0,0 +1,101 @@
+package io.samphiregauge.verify;
+
+import io.samphiregauge.core.config.KeyDigest;
+import io.samphiregauge.schema.config.Configuration;
+import io.samphiregauge.schema.config.Team;
+import io.samphiregauge.schema.config.Withdrawal;
+import io.samphiregauge.schema.record.Incarnation;
+import io.samphiregauge.schema.record.LogRecord;
+import io.samphiregauge.schema.record.Note;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/** Five entries in three failure domains, their engines, services, log and network. */
+final class Deployment {
+  static final String REGION = "luzon";
+  static final String TEAM = "team-a";
+  static final String FIRST_KEY = "key-0";
+  private static final int VMS = 5;
+  private static final int DOMAINS = 3;
+  private static final int ENGINES = 4;
+  private static final Configuration NOTHING =
+      new Configuration(List.of(), List.of(), List.of(), List.of());
+
+  final World world;
+  final Seams seams;
+  final LogFake log;
+  final NetFake net;
+  final List<Vm> vms = new ArrayList<>();
+  final List<EngineFake> engines = new ArrayList<>();
+  final List<ServiceFake> services = new ArrayList<>();
+
+  Deployment(World world, Seams seams) {
+    this.world = world;
+    this.seams = seams;
+    this.log = new LogFake(world);
+    this.net = new NetFake(world);
+    for (int i = 0; i < VMS; i++) {
+      vms.add(new Vm("vm" + i, "d" + i % DOMAINS, this));
+    }
+    for (int i = 0; i < ENGINES; i++) {
+      engines.add(new EngineFake("e" + i, i % 2 == 0, world, seams));
+    }
+    services.add(new ServiceFake("s0", world));
+    services.add(new ServiceFake("s1", world));
+  }
+
+  void start() {
+    Note first = note(-1, List.of(team(List.of(FIRST_KEY))), List.of());
+    log.seed(new LogRecord(new Incarnation("operator", 0, 0), 1, first));
+    vms.forEach(Vm::start);
+  }
+
+  static Note note(long buildsOn, List<Team> added, List<Team> changed) {
+    return new Note(
+        buildsOn,
+        "operator",
+        new Configuration(added, List.of(), List.of(), List.of()),
+        changed.isEmpty() ? NOTHING : new Configuration(changed, List.of(), List.of(), List.of()),
+        new Withdrawal(List.of(), List.of(), List.of(), List.of(), List.of()));
+  }
+
+  static Team team(List<String> keys) {
+    List<String> digests = keys.stream().map(KeyDigest::of).toList();
+    return new Team(TEAM, digests, List.of(), List.of(), 1);
+  }
+
+  Optional<Vm> vm(String name) {
+    return vms.stream().filter(vm -> vm.name.equals(name)).findFirst();
+  }
+
+  Optional<EngineFake> engine(String name) {
+    return engines.stream().filter(engine -> engine.name.equals(name)).findFirst();
+  }
+
+  /** Returns the processes of other VMs that exist. */
+  Set<Incarnation> others(Vm self) {
+    Set<Incarnation> others = new HashSet<>();
+    for (Vm vm : vms) {
+      if (vm != self) {
+        vm.node().ifPresent(node -> others.add(node.self));
+      }
+    }
+    return others;
+  }
+
+  /** Shows the invariants who holds a role now, and what the processes folded. */
+  void observeAll() {
+    for (String role : List.of("fleet/" + REGION, "usage/" + REGION)) {
+      List<Incarnation> holders = new ArrayList<>();
+      for (Vm vm : vms) {
+        vm.running()
+            .filter(node -> node.token(role).isPresent())
+            .ifPresent(node -> holders.add(node.self));
+      }
+      world.observe(new Observation.Held(role, holders));
+    }
+  }
+}
--- /dev/null
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/EngineCall.java
@@ -0,0 +1,16 @@
+package io.samphiregauge.verify;
+
+import java.util.concurrent.atomic.AtomicBoolean;
+
+/**
+ * A request to a model engine.
+ *
+ * @param fingerprint its fingerprint
+ * @param crashes whether it crashes each engine that runs it
+ * @param excuse set once the caller sent it again without an answer that all entries knew of
+ */
+record EngineCall(String fingerprint, boolean crashes, AtomicBoolean excuse) {
+  boolean excused() {
+    return excuse.get();
+  }
+}
--- /dev/null
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Faults.java
@@ -0,0 +1,123 @@
+package io.samphiregauge.verify;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/** Faults of the outside; each ends by itself. */
+final class Faults {
+  private static final int FEWEST = 2;
+  private static final int MOST = 6;
+  private static final long FIRST_MS = 1_000;
+  private static final long LAST_MS = 30_000;
+  private static final double AT_ONCE = 0.3;
+
+  /** A fault by name. */
+  record Kind(String name, Consumer<Deployment> inject) {}
+
+  static final List<Kind> ALL =
+      List.of(
+          new Kind("kill", deployment -> anyVm(deployment).restart()),
+          new Kind("kill_domain", Faults::killDomain),
+          new Kind("pause", deployment -> anyVm(deployment).pause(lastsMs(deployment))),
+          new Kind("log_down", Faults::logDown),
+          new Kind("log_lost_answers", Faults::lostAnswers),
+          new Kind("log_late_appends", Faults::lateAppends),
+          new Kind("log_out_of_reach", Faults::logOutOfReach),
+          new Kind("partition", Faults::partition),
+          new Kind("loss", Faults::loss),
+          new Kind("slow_and_twice", Faults::slowAndTwice),
+          new Kind("service_down", Faults::serviceDown),
+          new Kind("service_lost_answers", Faults::serviceLostAnswers));
+
+  private Faults() {}
+
+  /** Draws faults and their times; some come at once, and one may come twice. */
+  static void plan(Deployment deployment) {
+    Seeded random = deployment.world.random;
+    long count = random.between(FEWEST, MOST);
+    long atMs = 0;
+    for (int i = 0; i < count; i++) {
+      boolean together = i > 0 && random.chance(AT_ONCE);
+      atMs = together ? atMs + random.between(0, 20) : random.between(FIRST_MS, LAST_MS);
+      Kind kind = random.pick(ALL);
+      deployment.world.in(
+          atMs,
+          () -> {
+            deployment.world.trace(() -> "FAULT " + kind.name());
+            kind.inject().accept(deployment);
+          });
+    }
+  }
+
+  private static Vm anyVm(Deployment deployment) {
+    return deployment.world.random.pick(deployment.vms);
+  }
+
+  private static long lastsMs(Deployment deployment) {
+    return deployment.world.random.between(200, 16_000);
+  }
+
+  private static void killDomain(Deployment deployment) {
+    String domain = anyVm(deployment).domain;
+    deployment.vms.stream().filter(vm -> vm.domain.equals(domain)).forEach(Vm::restart);
+  }
+
+  private static void logDown(Deployment deployment) {
+    deployment.log.setDown(true);
+    deployment.world.in(lastsMs(deployment), () -> deployment.log.setDown(false));
+  }
+
+  private static void lostAnswers(Deployment deployment) {
+    deployment.log.setLostAnswers(0.5);
+    deployment.world.in(lastsMs(deployment), () -> deployment.log.setLostAnswers(0));
+  }
+
+  private static void lateAppends(Deployment deployment) {
+    deployment.log.setLateAppends(0.5);
+    deployment.world.in(lastsMs(deployment), () -> deployment.log.setLateAppends(0));
+  }
+
+  private static void logOutOfReach(Deployment deployment) {
+    Vm vm = anyVm(deployment);
+    vm.setLogReachable(false);
+    deployment.world.in(lastsMs(deployment), () -> vm.setLogReachable(true));
+  }
+
+  private static void partition(Deployment deployment) {
+    Set<String> minority = new HashSet<>();
+    minority.add(anyVm(deployment).name);
+    minority.add(anyVm(deployment).name);
+    deployment.net.partition(minority);
+    deployment.world.in(lastsMs(deployment), () -> deployment.net.partition(Set.of()));
+  }
+
+  private static void loss(Deployment deployment) {
+    deployment.net.setLoss(0.3);
+    deployment.world.in(lastsMs(deployment), () -> deployment.net.setLoss(0));
+  }
+
+  private static void slowAndTwice(Deployment deployment) {
+    deployment.net.setSlow(0.3);
+    deployment.net.setDuplicates(0.3);
+    deployment.world.in(
+        lastsMs(deployment),
+        () -> {
+          deployment.net.setSlow(0);
+          deployment.net.setDuplicates(0);
+        });
+  }
+
+  private static void serviceDown(Deployment deployment) {
+    ServiceFake service = deployment.world.random.pick(deployment.services);
+    service.setUp(false);
+    deployment.world.in(lastsMs(deployment), () -> service.setUp(true));
+  }
+
+  private static void serviceLostAnswers(Deployment deployment) {
+    ServiceFake service = deployment.world.random.pick(deployment.services);
+    service.setLostAnswers(0.5);
+    deployment.world.in(lastsMs(deployment), () -> service.setLostAnswers(0));
+  }
+}
--- /dev/null
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/LogInvariants.java
@@ -0,0 +1,74 @@
+package io.samphiregauge.verify;
+
+import io.samphiregauge.schema.record.Incarnation;
+import io.samphiregauge.verify.Observation.Folded;
+import io.samphiregauge.verify.Observation.Held;
+import io.samphiregauge.verify.Observation.KeyAccepted;
+import io.samphiregauge.verify.Observation.KeyWithdrawn;
+import io.samphiregauge.verify.Observation.NoteDue;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Promises about authority and configuration. */
+final class LogInvariants {
+  /** Bound for an entry with log contact. */
+  private static final long REFUSED_CONNECTED_MS = 2_000;
+
+  /** Bound for all others: 3 s of freshness on the slowest clock, and the time of one request. */
+  private static final long REFUSED_MS = 4_000;
+
+  static final List<Invariant.Named> ALL =
+      List.of(
+          new Invariant.Named(3, "one_holder", () -> LogInvariants::oneHolder),
+          new Invariant.Named(12, "never_reverts", LogInvariants::neverReverts),
+          new Invariant.Named(12, "in_force_in_time", () -> LogInvariants::inForce),
+          new Invariant.Named(4, "withdrawn_key_refused", LogInvariants::withdrawnKeyRefused));
+
+  private LogInvariants() {}
+
+  private static Optional<String> oneHolder(Observation seen) {
+    return seen instanceof Held held && held.holders().size() > 1
+        ? Optional.of(held.role() + " is held by " + held.holders())
+        : Optional.empty();
+  }
+
+  private static Invariant neverReverts() {
+    Map<Incarnation, Folded> last = new HashMap<>();
+    return seen -> {
+      if (!(seen instanceof Folded now)) {
+        return Optional.empty();
+      }
+      return Optional.ofNullable(last.put(now.by(), now))
+          .filter(b -> b.offset() > now.offset() || b.noteOffset() > now.noteOffset())
+          .map(before -> "%s went back to %s".formatted(before, now));
+    };
+  }
+
+  private static Optional<String> inForce(Observation seen) {
+    return seen instanceof NoteDue due && due.heldNoteOffset() < due.noteOffset()
+        ? Optional.of("%s is not in force".formatted(due))
+        : Optional.empty();
+  }
+
+  private static Invariant withdrawnKeyRefused() {
+    Map<String, Long> withdrawnMs = new HashMap<>();
+    return seen -> {
+      if (seen instanceof KeyWithdrawn withdrawn) {
+        withdrawnMs.put(withdrawn.key(), withdrawn.atMs());
+      }
+      if (!(seen instanceof KeyAccepted accepted) || !withdrawnMs.containsKey(accepted.key())) {
+        return Optional.empty();
+      }
+      long sinceMs = withdrawnMs.get(accepted.key());
+      boolean connected = accepted.undisturbedSinceMs() <= sinceMs;
+      long boundMs = connected ? REFUSED_CONNECTED_MS : REFUSED_MS;
+      return accepted.atMs() - sinceMs > boundMs
+          ? Optional.of(
+              "%s, withdrawn at %d ms, more than %d ms before"
+                  .formatted(accepted, sinceMs, boundMs))
+          : Optional.empty();
+    };
+  }
+}
--- /dev/null
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Node.java
@@ -0,0 +1,273 @@
+package io.samphiregauge.verify;
+
+import io.samphiregauge.core.Step;
+import io.samphiregauge.core.lease.LeaseAction;
+import io.samphiregauge.core.lease.LeaseAgent;
+import io.samphiregauge.core.lease.LeaseEvent;
+import io.samphiregauge.core.log.Checkpoints;
+import io.samphiregauge.core.log.FoldedState;
+import io.samphiregauge.core.log.Freshness;
+import io.samphiregauge.core.log.LogReader;
+import io.samphiregauge.core.log.LogWriter;
+import io.samphiregauge.schema.RecordBody;
+import io.samphiregauge.schema.peer.RecordsReply;
+import io.samphiregauge.schema.platform.RecordsPage;
+import io.samphiregauge.schema.record.Checkpoint;
+import io.samphiregauge.schema.record.Incarnation;
+import io.samphiregauge.schema.record.Joined;
+import io.samphiregauge.schema.record.LogRecord;
+import io.samphiregauge.schema.record.ProcessState;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+
+/** One process: hands events to the control state machines and carries out their actions. */
+final class Node {
+  private static final long READ_TIMEOUT_MS = 2_000;
+  private static final long ASK_PEER_AFTER_MS = 1_500;
+
+  final Incarnation self;
+  final Vm vm;
+  final NodeTraffic traffic;
+  private final Deployment deployment;
+  private final Seams seams;
+  private final Map<String, LeaseAgent> agents = new LinkedHashMap<>();
+  private LogReader reader = LogReader.atStart();
+  private LogWriter writer;
+  private Freshness freshness = Freshness.none();
+  private Checkpoints checkpoints = Checkpoints.every(LogFake.RETENTION_RECORDS);
+  private OptionalLong readSentMs = OptionalLong.empty();
+  private boolean caughtUpOnce;
+
+  Node(Vm vm, Deployment deployment) {
+    this.vm = vm;
+    this.deployment = deployment;
+    this.seams = deployment.seams;
+    World world = deployment.world;
+    this.self = new Incarnation(vm.name, 1_000 + world.nowMs(), world.random.nextLong() >>> 1);
+    this.writer = LogWriter.of(self);
+    for (String role : List.of("fleet/" + Deployment.REGION, "usage/" + Deployment.REGION)) {
+      agents.put(role, LeaseAgent.of(role, self));
+    }
+    this.traffic = new NodeTraffic(this, deployment);
+  }
+
+  void start() {
+    deployment.world.trace(() -> vm.name + " starts as #" + self.getStartMs());
+    String address = vm.name + ":80";
+    writer = writer.write(new Joined(Deployment.REGION, vm.domain, address, vm.name + ":90"));
+    tick();
+  }
+
+  void die() {
+    traffic.die();
+  }
+
+  FoldedState state() {
+    return reader.state();
+  }
+
+  long nowMs() {
+    return vm.clockMs();
+  }
+
+  Freshness freshness() {
+    return freshness;
+  }
+
+  boolean isFresh() {
+    return caughtUpOnce && seams.freshCheck.isFresh(freshness, nowMs());
+  }
+
+  /** Returns the fencing token under which this process may act now. */
+  OptionalLong token(String role) {
+    return seams.authority.token(agents.get(role), nowMs());
+  }
+
+  void write(RecordBody body) {
+    writer = writer.write(body);
+    runWriter(new LogWriter.Event.Tick());
+  }
+
+  private void tick() {
+    if (state().hasEnded(self)) {
+      deployment.world.trace(() -> vm.name + " reads that it has ended");
+      vm.restart();
+      return;
+    }
+    readLog();
+    askPeer();
+    agents.replaceAll((role, agent) -> runAgent(agent, new LeaseEvent.Tick()));
+    runWriter(new LogWriter.Event.Tick());
+    writeCheckpoint();
+    traffic.tick();
+    long nextMs = deployment.world.random.between(100, 300);
+    deployment.world.in(nextMs, () -> vm.inProcess(this, this::tick));
+  }
+
+  private void readLog() {
+    boolean open = readSentMs.isPresent() && nowMs() - readSentMs.getAsLong() < READ_TIMEOUT_MS;
+    if (open) {
+      return;
+    }
+    long sentMs = nowMs();
+    readSentMs = OptionalLong.of(sentMs);
+    if (vm.reachesLog()) {
+      deployment.log.read(
+          reader.nextOffset(), page -> vm.inProcess(this, () -> onPage(page, sentMs)));
+    }
+  }
+
+  private void onPage(RecordsPage page, long sentMs) {
+    if (!vm.reachesLog()) {
+      return;
+    }
+    take(seams.readPage.read(reader, page));
+    if (reader.isCaughtUp(page)) {
+      freshness = freshness.withOwnContact(sentMs);
+      join();
+    }
+    if (readSentMs.isPresent() && readSentMs.getAsLong() == sentMs) {
+      readSentMs = OptionalLong.empty();
+      readLog();
+    }
+  }
+
+  /** Leases are wanted once the process has joined. */
+  private void join() {
+    if (!caughtUpOnce && state().isLive(self)) {
+      caughtUpOnce = true;
+      long delayMs = deployment.world.random.between(0, 500);
+      agents.replaceAll((role, agent) -> runAgent(agent, new LeaseEvent.Candidacy(true, delayMs)));
+    }
+  }
+
+  private void take(Step<LogReader, LogReader.Read> step) {
+    reader = step.state();
+    step.actions().forEach(this::takeRead);
+    deployment.world.observe(
+        new Observation.Folded(self, state().upToOffset(), state().noteOffset()));
+  }
+
+  private void takeRead(LogReader.Read read) {
+    if (read instanceof LogReader.Read.Folded folded) {
+      takeRecord(folded);
+      return;
+    }
+    FoldedState restored = ((LogReader.Read.Restored) read).state();
+    agents.replaceAll(
+        (role, agent) -> runAgent(agent, new LeaseEvent.Restored(restored.lease(role))));
+    restored
+        .process(self.getVm())
+        .filter(process -> process.getIncarnation().equals(self))
+        .map(ProcessState::getSequence)
+        .ifPresent(sequence -> runWriter(new LogWriter.Event.ReadBack(sequence)));
+  }
+
+  private void takeRecord(LogReader.Read.Folded folded) {
+    LogRecord entry = folded.at().getRecord();
+    boolean own = entry.getWriter().equals(self);
+    OptionalLong sentMs =
+        own
+            ? seams.sentTime.from(writer.firstSentMs(entry.getSequence()), nowMs())
+            : OptionalLong.empty();
+    LeaseEvent event =
+        new LeaseEvent.Read(folded.at().getOffset(), entry, folded.accepted(), sentMs);
+    agents.replaceAll((role, agent) -> runAgent(agent, event));
+    if (entry.getBody() instanceof Checkpoint checkpoint) {
+      checkpoints = checkpoints.seen(checkpoint, own);
+    }
+    if (own) {
+      runWriter(new LogWriter.Event.ReadBack(entry.getSequence()));
+    }
+  }
+
+  private LeaseAgent runAgent(LeaseAgent agent, LeaseEvent event) {
+    Step<LeaseAgent, LeaseAction> step = agent.on(event, nowMs());
+    for (LeaseAction action : step.actions()) {
+      if (action instanceof LeaseAction.Write write) {
+        writer = writer.write(write.body());
+      }
+    }
+    return step.state();
+  }
+
+  private void runWriter(LogWriter.Event event) {
+    Step<LogWriter, LogWriter.Append> step = writer.on(event, nowMs(), deployment.world.random);
+    writer = step.state();
+    step.actions().forEach(this::append);
+  }
+
+  private void append(LogWriter.Append append) {
+    if (!vm.reachesLog()) {
+      return;
+    }
+    deployment.log.append(
+        append.records(),
+        stored ->
+            vm.inProcess(
+                this,
+                () ->
+                    runWriter(
+                        stored
+                            ? new LogWriter.Event.Answered(append.call())
+                            : new LogWriter.Event.Failed(append.call()))));
+  }
+
+  private void writeCheckpoint() {
+    if (token("fleet/" + Deployment.REGION).isEmpty()) {
+      return;
+    }
+    checkpoints
+        .due(state())
+        .ifPresent(
+            checkpoint -> {
+              checkpoints = checkpoints.written();
+              write(checkpoint);
+            });
+  }
+
+  /** Asks a peer for its state while the log is out of reach. */
+  private void askPeer() {
+    OptionalLong ageMs = freshness.ownContactAgeMs(nowMs());
+    if (ageMs.isPresent() && ageMs.getAsLong() < ASK_PEER_AFTER_MS) {
+      return;
+    }
+    Vm peer = deployment.world.random.pick(deployment.vms);
+    long sentMs = nowMs();
+    long heldOffset = state().upToOffset();
+    deployment.net.send(vm, peer, node -> node.tellState(vm, this, heldOffset, sentMs));
+  }
+
+  private void tellState(Vm to, Node asking, long heldOffset, long sentMs) {
+    OptionalLong ageMs = freshness.ownContactAgeMs(nowMs());
+    if (asking == this || ageMs.isEmpty()) {
+      return;
+    }
+    RecordsReply reply =
+        state().upToOffset() > heldOffset
+            ? new RecordsReply(heldOffset, ageMs.getAsLong(), List.of(), state().toCheckpoint())
+            : new RecordsReply(heldOffset, ageMs.getAsLong(), List.of());
+    long offset = state().upToOffset();
+    deployment.net.send(
+        vm,
+        to,
+        node -> {
+          if (node == asking) {
+            node.onPeerState(reply, offset, sentMs);
+          }
+        });
+  }
+
+  private void onPeerState(RecordsReply reply, long peerOffset, long sentMs) {
+    reply
+        .getSnapshot()
+        .flatMap(snapshot -> seams.restore.restore(reader, snapshot).value())
+        .ifPresent(this::take);
+    if (state().upToOffset() >= peerOffset) {
+      freshness = freshness.withPeerContact(sentMs, reply.getLogContactAgeMs());
+      join();
+    }
+  }
+}
--- /dev/null
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Observation.java
@@ -0,0 +1,58 @@
+package io.samphiregauge.verify;
+
+import io.samphiregauge.core.ticket.TicketReply;
+import io.samphiregauge.schema.record.Incarnation;
+import java.util.List;
+import java.util.Optional;
+
+/** Something that an invariant judges: what the outside, or a process itself, could see. */
+sealed interface Observation {
+  /** The roles that processes hold at this moment, each by its own clock. */
+  record Held(String role, List<Incarnation> holders) implements Observation {}
+
+  /** A process has folded the log up to an offset. */
+  record Folded(Incarnation by, long offset, long noteOffset) implements Observation {}
+
+  /** Two processes at one offset, with the states that they computed. */
+  record SameOffset(long offset, Object first, Object second) implements Observation {}
+
+  /** The time within which a note must be in force has passed. */
+  record NoteDue(Incarnation at, long noteOffset, long heldNoteOffset) implements Observation {}
+
+  /** The log has stored a note that withdraws a key, and the fold accepts it. */
+  record KeyWithdrawn(String key, long atMs) implements Observation {}
+
+  /** An entry accepted a key. */
+  record KeyAccepted(Incarnation by, String key, long atMs, long undisturbedSinceMs)
+      implements Observation {}
+
+  /** A plain service ran a non-idempotent request. */
+  record Ran(String request, String ticket) implements Observation {}
+
+  /** A caller got a reply to a non-idempotent request. */
+  record Replied(String request, Optional<String> ticket, TicketReply reply)
+      implements Observation {}
+
+  /** A caller got an answer that another caller's request produced. */
+  record AnswerOf(String request, String answeredRequest) implements Observation {}
+
+  /** A request crashed an engine. */
+  record Crash(String fingerprint, String engine, boolean excused) implements Observation {}
+
+  /** An entry refused a request as one that crashes engines. */
+  record Condemned(String fingerprint, boolean crashes) implements Observation {}
+
+  /** An engine has got an order. */
+  record OrderArrived(
+      String target, long intentOffset, long token, String order, boolean applied, boolean checks)
+      implements Observation {}
+
+  /** The usage interface has got a report. */
+  record ReportArrived(String window, long key, String figures) implements Observation {}
+
+  /** An entry uses pieces, by its own view. */
+  record PiecesUsed(Incarnation by, List<Integer> pieces) implements Observation {}
+
+  /** An entry gave new work to a backend server that is leaving since a time. */
+  record WorkOnLeaving(Incarnation by, String backend, long sinceSignalMs) implements Observation {}
+}
--- /dev/null
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Seams.java
@@ -0,0 +1,102 @@
+package io.samphiregauge.verify;
+
+import io.samphiregauge.core.Step;
+import io.samphiregauge.core.lease.LeaseAgent;
+import io.samphiregauge.core.log.FoldedState;
+import io.samphiregauge.core.log.Freshness;
+import io.samphiregauge.core.log.LogReader;
+import io.samphiregauge.core.result.Result;
+import io.samphiregauge.core.suspect.SuspicionView;
+import io.samphiregauge.core.ticket.Ticket;
+import io.samphiregauge.core.ticket.TicketBook;
+import io.samphiregauge.core.ticket.TicketPlace;
+import io.samphiregauge.core.ticket.TicketReply;
+import io.samphiregauge.core.ticket.TicketRouting;
+import io.samphiregauge.schema.platform.RecordsPage;
+import io.samphiregauge.schema.record.Checkpoint;
+import io.samphiregauge.schema.record.Incarnation;
+import java.util.OptionalLong;
+
+/**
+ * The calls from the fakes into the state machines. A new instance makes them as they are; a test
+ * replaces one of them to plant a fault that the invariants must catch.
+ */
+final class Seams {
+  ReadPage readPage = LogReader::read;
+  Restore restore = LogReader::restore;
+  Authority authority = LeaseAgent::token;
+  SentTime sentTime = (firstSentMs, nowMs) -> firstSentMs;
+  FreshCheck freshCheck = Freshness::isFresh;
+  Place place = TicketRouting::place;
+  Dispatch dispatch = (book, ticket) -> book.dispatch(ticket).value().isPresent();
+  Retry retry = TicketBook::mayRetry;
+  Reply reply = decided -> decided;
+  Start start = SuspicionView::mayStart;
+  Fencing fencing = (highestSeen, fencingToken) -> fencingToken >= highestSeen;
+
+  /** Folds a page of the log. */
+  @FunctionalInterface
+  interface ReadPage {
+    Step<LogReader, LogReader.Read> read(LogReader reader, RecordsPage page);
+  }
+
+  /** Takes over a whole state. */
+  @FunctionalInterface
+  interface Restore {
+    Result<Step<LogReader, LogReader.Read>> restore(LogReader reader, Checkpoint checkpoint);
+  }
+
+  /** Gives the fencing token under which a process may act. */
+  @FunctionalInterface
+  interface Authority {
+    OptionalLong token(LeaseAgent agent, long nowMs);
+  }
+
+  /** Tells from when an own lease record counts. */
+  @FunctionalInterface
+  interface SentTime {
+    OptionalLong from(OptionalLong firstSentMs, long nowMs);
+  }
+
+  /** Tells whether keyed requests may be served. */
+  @FunctionalInterface
+  interface FreshCheck {
+    boolean isFresh(Freshness freshness, long nowMs);
+  }
+
+  /** Finds the process that handles a ticket. */
+  @FunctionalInterface
+  interface Place {
+    TicketPlace of(Ticket ticket, Incarnation self, FoldedState state, boolean forwarded);
+  }
+
+  /** Tells whether a request may be written to a plain service. */
+  @FunctionalInterface
+  interface Dispatch {
+    boolean mayWrite(TicketBook<Object> book, Ticket ticket);
+  }
+
+  /** Tells whether a request may be tried on another plain service. */
+  @FunctionalInterface
+  interface Retry {
+    boolean mayRetry(TicketBook<Object> book, Ticket ticket);
+  }
+
+  /** Gives the reply that callers see. */
+  @FunctionalInterface
+  interface Reply {
+    TicketReply of(TicketReply decided);
+  }
+
+  /** Tells whether a request may start on an engine. */
+  @FunctionalInterface
+  interface Start {
+    boolean mayStart(SuspicionView view, String fingerprint, String engine);
+  }
+
+  /** Tells whether an engine that checks fencing tokens takes an order. */
+  @FunctionalInterface
+  interface Fencing {
+    boolean takes(long highestSeen, long fencingToken);
+  }
+}
