--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/Isolation.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/Isolation.java
@@ -75,6 +75,9 @@
 
   /** Gives suspects their engines once nobody has an unproven request there. */
   static SuspicionState grant(SuspicionState state, List<SuspicionAction> actions) {
+    if (state.own.isEmpty()) {
+      return state;
+    }
     Map<String, Reservation> own = new TreeMap<>(state.own);
     own.replaceAll(
         (engine, reservation) -> {
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/Notices.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/Notices.java
@@ -68,6 +68,9 @@
   }
 
   static SuspicionState resend(SuspicionState state, long nowMs, List<SuspicionAction> actions) {
+    if (state.pending.isEmpty()) {
+      return state;
+    }
     SuspicionState resent =
         edit(
             state,
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/Suspicion.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/Suspicion.java
@@ -115,6 +115,9 @@
   /** Tells new members all suspicions, and no longer waits for members that are gone. */
   private static SuspicionState meet(
       SuspicionState state, Set<Incarnation> others, long nowMs, List<SuspicionAction> actions) {
+    if (others.equals(state.live) && state.synced) {
+      return state;
+    }
     Set<Incarnation> joined = new HashSet<>(others);
     joined.removeAll(state.live);
     Set<Incarnation> heard = new HashSet<>(state.heard);
--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/NodeSuspicion.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/NodeSuspicion.java
@@ -81,7 +81,8 @@
   private void start(EngineCall call, Consumer<Result> answer, int triesLeft) {
     Standing standing = state.standing(call.fingerprint());
     if (standing == Standing.CONDEMNED) {
-      deployment.world.observe(new Observation.Condemned(call.fingerprint(), call.crashes()));
+      deployment.world.observe(
+          new Observation.Condemned(call.fingerprint(), call.crashes(), call.excused()));
       answer.accept(Result.CONDEMNED);
       return;
     }
--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Observation.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Observation.java
@@ -40,7 +40,7 @@
   record Crash(String fingerprint, String engine, boolean excused) implements Observation {}
 
   /** An entry refused a request as one that crashes engines. */
-  record Condemned(String fingerprint, boolean crashes) implements Observation {}
+  record Condemned(String fingerprint, boolean crashes, boolean excused) implements Observation {}
 
   /** An engine has got an order. */
   record OrderArrived(
--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/RequestInvariants.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/RequestInvariants.java
@@ -80,7 +80,7 @@
   }
 
   private static Optional<String> condemned(Observation seen) {
-    return seen instanceof Condemned condemned && !condemned.crashes()
+    return seen instanceof Condemned condemned && !condemned.crashes() && !condemned.excused()
         ? Optional.of(condemned.fingerprint() + " is refused, but crashes nothing")
         : Optional.empty();
   }
--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Schedule.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Schedule.java
@@ -26,7 +26,7 @@
     operator.start();
     new Callers(deployment, operator).start();
     Faults.plan(deployment);
-    Optional<Violation> violation = world.run(LENGTH_MS, deployment::observeAll);
+    Optional<Violation> violation = world.run(LENGTH_MS, deployment::observeHolders);
     return new Outcome(world.steps(), violation);
   }
 
