--- /dev/null
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/Main.java
@@ -0,0 +1,143 @@
+package io.samphiregauge.daemon;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import io.samphiregauge.core.result.Failure;
+import io.samphiregauge.core.result.Result;
+import io.samphiregauge.net.SettingsReader;
+import io.samphiregauge.schema.config.Settings;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Function;
+
+/** Command line of the daemon. */
+public final class Main {
+  static final int OK = 0;
+  static final int FAILED = 1;
+  static final int USAGE = 2;
+
+  private static final String PROGRAM = "samphiregauge";
+  // The longest stream that a shutdown waits for; a longer one is cut.
+  private static final int MAX_DRAIN_MS = 600_000;
+
+  private final PrintStream out;
+  private final PrintStream err;
+  private final Function<Entry, Integer> serve;
+
+  /** Options of the command line. */
+  private static final class Options {
+    @Parameter(names = "--settings", description = "File with the settings of the entry")
+    private String settings = "";
+
+    @Parameter(names = "--help", help = true, description = "Show this text")
+    private boolean help;
+
+    @Parameter(names = "--version", help = true, description = "Show the version")
+    private boolean version;
+  }
+
+  /**
+   * Prepares a run.
+   *
+   * @param out takes what was asked for
+   * @param err takes errors
+   * @param serve keeps the entry until it has ended, and returns the exit code
+   */
+  Main(PrintStream out, PrintStream err, Function<Entry, Integer> serve) {
+    this.out = out;
+    this.err = err;
+    this.serve = serve;
+  }
+
+  /**
+   * Runs an entry until SIGTERM or SIGINT, then shuts it down without interrupting a request.
+   *
+   * @param args command line; exit codes are 0, 1 for a failure and 2 for a wrong command line
+   */
+  public static void main(String[] args) {
+    int code = new Main(System.out, System.err, Main::untilSignal).run(args);
+    if (code != OK) {
+      System.exit(code);
+    }
+  }
+
+  int run(String... args) {
+    Options options = new Options();
+    JCommander commander = JCommander.newBuilder().programName(PROGRAM).addObject(options).build();
+    try {
+      commander.parse(args);
+    } catch (ParameterException e) {
+      return fail(USAGE, e.getMessage());
+    }
+    if (options.help) {
+      StringBuilder usage = new StringBuilder();
+      commander.getUsageFormatter().usage(usage);
+      out.print(usage);
+      return OK;
+    }
+    if (options.version) {
+      out.println(PROGRAM + " " + version());
+      return OK;
+    }
+    return options.settings.isEmpty()
+        ? fail(USAGE, "The option --settings FILE is missing.")
+        : start(Path.of(options.settings));
+  }
+
+  private int start(Path file) {
+    Result<Entry> entry =
+        SettingsReader.read(file, "config/settings.json", Settings.class)
+            .flatMap(settings -> Entry.start(settings, () -> System.nanoTime() / 1_000_000));
+    return entry.fold(
+        started -> {
+          out.println("event=serving address=" + started.address());
+          return serve.apply(started);
+        },
+        failure -> fail(FAILED, describe(failure)));
+  }
+
+  private static String describe(Failure failure) {
+    return failure.type() + ": " + failure.message();
+  }
+
+  private int fail(int code, String message) {
+    err.println(PROGRAM + ": " + message);
+    return code;
+  }
+
+  private static String version() {
+    return Optional.ofNullable(Main.class.getPackage().getImplementationVersion())
+        .orElse("development");
+  }
+
+  private static int untilSignal(Entry entry) {
+    CountDownLatch signalled = new CountDownLatch(1);
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(entry, signalled), "shutdown"));
+    try {
+      signalled.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    return OK;
+  }
+
+  /** Runs in the shutdown hook; without the halt the exit code would be that of the signal. */
+  private static void shutDown(Entry entry, CountDownLatch signalled) {
+    int code = OK;
+    try {
+      entry.drain().get(MAX_DRAIN_MS, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException | ExecutionException | TimeoutException e) {
+      System.err.println(PROGRAM + ": the shutdown did not end: " + e);
+      code = FAILED;
+    }
+    entry.close();
+    signalled.countDown();
+    Runtime.getRuntime().halt(code);
+  }
+}
--- a/samphiregauge-daemon/src/test/java/io/samphiregauge/daemon/traffic/TestEntry.java
+++ b/samphiregauge-daemon/src/test/java/io/samphiregauge/daemon/traffic/TestEntry.java
@@ -8,6 +8,7 @@
 import io.samphiregauge.core.log.FoldedState;
 import io.samphiregauge.core.route.RoutingPolicies;
 import io.samphiregauge.net.Address;
+import io.samphiregauge.net.Codec;
 import io.samphiregauge.schema.config.Backend;
 import io.samphiregauge.schema.config.BackendKind;
 import io.samphiregauge.schema.config.Configuration;
@@ -18,6 +19,7 @@
 import io.samphiregauge.schema.record.Incarnation;
 import io.samphiregauge.schema.record.Joined;
 import io.samphiregauge.schema.record.ProcessState;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -123,24 +125,15 @@
   }
 
   private static Settings settings(String vm, int threads, int keepMs) {
-    return new Settings(
-        vm,
-        "luzon",
-        "a",
-        "127.0.0.1:0",
-        "127.0.0.1:0",
-        "http://127.0.0.1:1",
-        null,
-        List.of(),
-        200,
-        100,
-        keepMs,
-        null,
-        threads,
-        null,
-        null,
-        null,
-        null);
+    String json =
+        """
+        {"vm": "%s", "region": "luzon", "failureDomain": "a", "httpAddress": "127.0.0.1:0",
+         "peerAddress": "127.0.0.1:0", "logUrl": "http://127.0.0.1:1", "seedPeers": [],
+         "clientHopUs": 200, "domainHopUs": 100, "directoryKeepMs": %d, "trafficThreads": %d}
+        """
+            .formatted(vm, keepMs, threads);
+    byte[] bytes = json.getBytes(StandardCharsets.UTF_8);
+    return Codec.json().decode(bytes, Settings.class).value().orElseThrow();
   }
 
   @Override
