--- /dev/null
+++ b/samphiregauge-bench/src/main/java/io/samphiregauge/bench/BareRelay.java
@@ -0,0 +1,117 @@
+package io.samphiregauge.bench;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.samphiregauge.net.Address;
+import io.samphiregauge.net.HttpServer;
+import java.util.ArrayDeque;
+import java.util.Optional;
+import java.util.Queue;
+
+/**
+ * The least that a relay can do with Netty's HTTP codec: each caller's connection has a connection
+ * to the backend server, and decoded parts pass from one to the other. It is the baseline of the
+ * entry, and has neither keys nor limits, routing, retries or back pressure.
+ */
+final class BareRelay {
+  private static final int MAX_HEADER_BYTES = 16 * 1024;
+
+  private BareRelay() {}
+
+  static HttpServer start(EventLoopGroup loops, Address address, Address backend) {
+    return HttpServer.start(
+            loops, address, MAX_HEADER_BYTES, () -> new ChannelHandler[] {new CallerSide(backend)})
+        .value()
+        .orElseThrow();
+  }
+
+  private static final class CallerSide extends ChannelInboundHandlerAdapter {
+    private final Address address;
+    private final Queue<Object> early = new ArrayDeque<>();
+    private Optional<Channel> backend = Optional.empty();
+
+    CallerSide(Address address) {
+      this.address = address;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+      new Bootstrap()
+          .group(ctx.channel().eventLoop())
+          .channel(NioSocketChannel.class)
+          .option(ChannelOption.TCP_NODELAY, true)
+          .handler(
+              new ChannelInitializer<SocketChannel>() {
+                @Override
+                protected void initChannel(SocketChannel channel) {
+                  channel.pipeline().addLast(new HttpClientCodec(), new BackendSide(ctx.channel()));
+                }
+              })
+          .connect(address.toSocketAddress())
+          .addListener((ChannelFuture connected) -> connected(ctx, connected));
+    }
+
+    private void connected(ChannelHandlerContext ctx, ChannelFuture connected) {
+      if (!connected.isSuccess()) {
+        ctx.close();
+        return;
+      }
+      backend = Optional.of(connected.channel());
+      early.forEach(connected.channel()::write);
+      early.clear();
+      connected.channel().flush();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object part) {
+      if (backend.isPresent()) {
+        backend.get().write(part);
+      } else {
+        early.add(part);
+      }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+      backend.ifPresent(Channel::flush);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+      backend.ifPresent(Channel::close);
+    }
+  }
+
+  private static final class BackendSide extends ChannelInboundHandlerAdapter {
+    private final Channel caller;
+
+    BackendSide(Channel caller) {
+      this.caller = caller;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object part) {
+      caller.write(part);
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+      caller.flush();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+      caller.close();
+    }
+  }
+}
--- /dev/null
+++ b/samphiregauge-bench/src/main/java/io/samphiregauge/bench/RelayExperiment.java
@@ -0,0 +1,175 @@
+package io.samphiregauge.bench;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.samphiregauge.core.config.ConfigView;
+import io.samphiregauge.core.config.KeyDigest;
+import io.samphiregauge.core.log.FoldedState;
+import io.samphiregauge.core.route.RoutingPolicies;
+import io.samphiregauge.daemon.traffic.TrafficParts;
+import io.samphiregauge.daemon.traffic.TrafficServer;
+import io.samphiregauge.daemon.traffic.TrafficView;
+import io.samphiregauge.net.Address;
+import io.samphiregauge.net.Codec;
+import io.samphiregauge.net.HttpServer;
+import io.samphiregauge.schema.config.Backend;
+import io.samphiregauge.schema.config.BackendKind;
+import io.samphiregauge.schema.config.Configuration;
+import io.samphiregauge.schema.config.Model;
+import io.samphiregauge.schema.config.Settings;
+import io.samphiregauge.schema.config.Team;
+import io.samphiregauge.schema.record.Incarnation;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.ToDoubleFunction;
+
+/**
+ * Compares the entry with a bare relay, both on one event loop, in one run on loopback. The rounds
+ * alternate, so that a change of the machine's load meets both.
+ *
+ * <pre>{@code
+ * java -cp "samphiregauge-bench/target/classes:..." io.samphiregauge.bench.RelayExperiment 5
+ * }</pre>
+ */
+public final class RelayExperiment {
+  private static final Address ANY = new Address("127.0.0.1", 0);
+  private static final int DEFAULT_ROUNDS = 5;
+  private static final int MAX_ROUNDS = 20;
+  private static final int CALLERS_AT_FULL_LOAD = 32;
+  private static final int CALLERS_WITH_PAUSES = 8;
+  private static final int PAUSE_US = 2_000;
+  private static final int WARM_UP_MS = 500;
+  private static final int FIRST_WARM_UP_MS = 4_000;
+  private static final int MEASURE_MS = 2_000;
+  private static final double NS_PER_US = 1_000;
+
+  private RelayExperiment() {}
+
+  /** Figures of one subject in one round. */
+  private record Round(LoadSource.Measured full, LoadSource.Measured paused) {}
+
+  /**
+   * Runs the experiment.
+   *
+   * @param args number of rounds, 5 where absent
+   * @throws InterruptedException where the run is interrupted
+   */
+  public static void main(String[] args) throws InterruptedException {
+    int rounds = args.length == 0 ? DEFAULT_ROUNDS : Integer.parseInt(args[0]);
+    EventLoopGroup backendLoops = new NioEventLoopGroup(2);
+    EventLoopGroup callerLoops = new NioEventLoopGroup(2);
+    EventLoopGroup relayLoop = new NioEventLoopGroup(1);
+    EventLoopGroup entryLoop = new NioEventLoopGroup(1);
+    HttpServer backend = FixedBackend.start(backendLoops, ANY);
+    HttpServer relay = BareRelay.start(relayLoop, ANY, backend.address());
+    try (TrafficServer entry = entry(entryLoop, backend.address())) {
+      warmUp(callerLoops, relay.address());
+      warmUp(callerLoops, entry.address());
+      List<Round> ofRelay = new ArrayList<>();
+      List<Round> ofEntry = new ArrayList<>();
+      for (int i = 0; i < Math.min(rounds, MAX_ROUNDS); i++) {
+        ofRelay.add(round(callerLoops, relay.address()));
+        ofEntry.add(round(callerLoops, entry.address()));
+      }
+      print(ofRelay, ofEntry);
+    }
+    relay.close();
+    backend.close();
+    for (EventLoopGroup loops : List.of(backendLoops, callerLoops, relayLoop, entryLoop)) {
+      loops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+  }
+
+  private static void warmUp(EventLoopGroup loops, Address target) throws InterruptedException {
+    LoadSource.run(loops, target, CALLERS_AT_FULL_LOAD, 0, FIRST_WARM_UP_MS, 1);
+  }
+
+  private static Round round(EventLoopGroup loops, Address target) throws InterruptedException {
+    return new Round(
+        LoadSource.run(loops, target, CALLERS_AT_FULL_LOAD, 0, WARM_UP_MS, MEASURE_MS),
+        LoadSource.run(loops, target, CALLERS_WITH_PAUSES, PAUSE_US, WARM_UP_MS, MEASURE_MS));
+  }
+
+  private static void print(List<Round> relay, List<Round> entry) {
+    row("relay answers/s", relay, r -> r.full().answersPerSecond());
+    row("entry answers/s", entry, r -> r.full().answersPerSecond());
+    List<Double> ratios = new ArrayList<>();
+    List<Double> addedP50 = new ArrayList<>();
+    List<Double> addedP99 = new ArrayList<>();
+    long failures = 0;
+    for (int i = 0; i < relay.size(); i++) {
+      Round r = relay.get(i);
+      Round e = entry.get(i);
+      ratios.add(e.full().answersPerSecond() / r.full().answersPerSecond());
+      addedP50.add((e.paused().p50Ns() - r.paused().p50Ns()) / NS_PER_US);
+      addedP99.add((e.paused().p99Ns() - r.paused().p99Ns()) / NS_PER_US);
+      failures += e.full().failures() + e.paused().failures();
+      failures += r.full().failures() + r.paused().failures();
+    }
+    row("ratio entry/relay", ratios);
+    row("relay p50 us", relay, r -> r.paused().p50Ns() / NS_PER_US);
+    row("entry p50 us", entry, r -> r.paused().p50Ns() / NS_PER_US);
+    row("added p50 us", addedP50);
+    row("relay p99 us", relay, r -> r.paused().p99Ns() / NS_PER_US);
+    row("entry p99 us", entry, r -> r.paused().p99Ns() / NS_PER_US);
+    row("added p99 us", addedP99);
+    System.out.println("failures " + failures);
+  }
+
+  private static void row(String name, List<Round> rounds, ToDoubleFunction<Round> value) {
+    row(name, rounds.stream().mapToDouble(value).boxed().toList());
+  }
+
+  private static void row(String name, List<Double> values) {
+    List<Double> sorted = values.stream().sorted().toList();
+    System.out.printf(
+        "%-18s median %10.2f  spread %10.2f .. %10.2f  rounds %d%n",
+        name,
+        sorted.get(sorted.size() / 2),
+        sorted.get(0),
+        sorted.get(sorted.size() - 1),
+        sorted.size());
+  }
+
+  private static TrafficServer entry(EventLoopGroup loop, Address backend) {
+    Team team = new Team("t1", List.of(KeyDigest.of("secret")), List.of("m1"), List.of(), 1.0);
+    Backend engine =
+        new Backend(
+            "e1", BackendKind.ENGINE, backend.toString(), "a", List.of("m1"), false, true, 1_000);
+    ConfigView config =
+        ConfigView.of(
+            new Configuration(
+                List.of(team),
+                List.of(new Model("m1", List.of("1"), 1L, 1L)),
+                List.of(),
+                List.of(engine)));
+    FoldedState state =
+        new FoldedState(1, 1, config, Map.of(), Map.of(), Map.of(), Map.of(), Map.of(), Map.of());
+    TrafficView view = new TrafficView(state, true, true, Set.of(), Set.of());
+    TrafficParts parts =
+        new TrafficParts(
+            settings(),
+            () -> System.nanoTime() / 1_000_000,
+            new Incarnation("vm1", 1L, 1L),
+            () -> view,
+            RoutingPolicies.leastLoad(),
+            (t, m, prompt, output) -> {},
+            (b, fingerprint, next) -> next.run());
+    return TrafficServer.start(loop, ANY, parts).value().orElseThrow();
+  }
+
+  private static Settings settings() {
+    String json =
+        """
+        {"vm": "vm1", "region": "luzon", "failureDomain": "a", "httpAddress": "127.0.0.1:0",
+         "peerAddress": "127.0.0.1:0", "logUrl": "http://127.0.0.1:1", "seedPeers": [],
+         "clientHopUs": 200, "domainHopUs": 100, "directoryKeepMs": 100, "trafficThreads": 1}
+        """;
+    byte[] bytes = json.getBytes(StandardCharsets.UTF_8);
+    return Codec.json().decode(bytes, Settings.class).value().orElseThrow();
+  }
+}
