--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Node.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Node.java
@@ -247,7 +247,7 @@
     }
     RecordsReply reply =
         state().upToOffset() > heldOffset
-            ? new RecordsReply(heldOffset, ageMs.getAsLong(), List.of(), state().toCheckpoint())
+            ? new RecordsReply(heldOffset, ageMs.getAsLong(), List.of(), state().toCheckpoint(), 0L)
             : new RecordsReply(heldOffset, ageMs.getAsLong(), List.of());
     long offset = state().upToOffset();
     deployment.net.send(
