--- /dev/null
+++ b/samphiregauge-bench/src/main/java/io/samphiregauge/bench/StreamCallers.java
@@ -0,0 +1,116 @@
+package io.samphiregauge.bench;
+
+import io.samphiregauge.net.Address;
+import java.net.ConnectException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.LongAdder;
+
+/** Callers that each keep one stream running and check every answer to the last byte. */
+final class StreamCallers {
+  static final String KEY = "secret";
+
+  private static final int TOKENS = 100;
+
+  private final HttpClient client =
+      HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+  private final List<CompletableFuture<Void>> ends = new ArrayList<>();
+  private final AtomicInteger running = new AtomicInteger();
+  private final AtomicInteger mostRunning = new AtomicInteger();
+  private final LongAdder whole = new LongAdder();
+  private final LongAdder refusedConnections = new LongAdder();
+  private final ConcurrentLinkedQueue<String> faults = new ConcurrentLinkedQueue<>();
+  private final ConcurrentHashMap<Address, LongAdder> byEntry = new ConcurrentHashMap<>();
+  private volatile List<Address> addresses;
+  private volatile boolean stopping;
+
+  private StreamCallers(List<Address> addresses) {
+    this.addresses = addresses;
+  }
+
+  static StreamCallers start(int count, List<Address> addresses) {
+    StreamCallers callers = new StreamCallers(addresses);
+    for (int i = 0; i < count; i++) {
+      CompletableFuture<Void> end = new CompletableFuture<>();
+      callers.ends.add(end);
+      callers.next("u" + i, i, end);
+    }
+    return callers;
+  }
+
+  /** Stands for a new answer of the directory; streams that run go on where they are. */
+  void use(List<Address> next) {
+    addresses = next;
+  }
+
+  /** Lets each stream end, prints what was seen, and tells whether no stream had a fault. */
+  boolean finish() {
+    stopping = true;
+    ends.forEach(CompletableFuture::join);
+    System.out.printf(
+        "whole %d  faults %d  most at once %d  refused connections %d  tokens a stream %d%n",
+        whole.sum(), faults.size(), mostRunning.get(), refusedConnections.sum(), TOKENS);
+    byEntry.forEach((entry, count) -> System.out.printf("entry %s whole %s%n", entry, count));
+    faults.stream().limit(5).forEach(System.out::println);
+    return faults.isEmpty();
+  }
+
+  private void next(String user, int turn, CompletableFuture<Void> end) {
+    if (stopping) {
+      end.complete(null);
+      return;
+    }
+    List<Address> known = addresses;
+    Address entry = known.get(turn % known.size());
+    mostRunning.accumulateAndGet(running.incrementAndGet(), Math::max);
+    client
+        .sendAsync(request(user, entry), HttpResponse.BodyHandlers.ofString())
+        .whenComplete(
+            (answer, failure) -> {
+              running.decrementAndGet();
+              check(user, entry, answer, failure);
+              next(user, turn + 1, end);
+            });
+  }
+
+  private void check(String user, Address entry, HttpResponse<String> answer, Throwable failure) {
+    if (failure != null) {
+      Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+      if (cause instanceof ConnectException) {
+        refusedConnections.increment();
+      } else {
+        faults.add(user + ": " + cause);
+      }
+    } else if (answer.statusCode() != 200 || !answer.body().equals(expected(user))) {
+      faults.add(user + ": status " + answer.statusCode() + " body " + answer.body());
+    } else {
+      whole.increment();
+      byEntry.computeIfAbsent(entry, address -> new LongAdder()).increment();
+    }
+  }
+
+  private static HttpRequest request(String user, Address entry) {
+    String body = "{\"model\":\"m1\",\"user\":\"%s\",\"max_tokens\":%d}".formatted(user, TOKENS);
+    return HttpRequest.newBuilder(URI.create("http://" + entry + "/v1/completions"))
+        .header("Authorization", "Bearer " + KEY)
+        .POST(HttpRequest.BodyPublishers.ofString(body))
+        .build();
+  }
+
+  private static String expected(String user) {
+    StringBuilder text = new StringBuilder();
+    for (int i = 0; i < TOKENS; i++) {
+      text.append("data: {\"index\":%d,\"text\":\"%s:t%d \"}\n\n".formatted(i, user, i));
+    }
+    return text.append("data: [DONE]\n\n").toString();
+  }
+}
--- /dev/null
+++ b/samphiregauge-bench/src/main/java/io/samphiregauge/bench/StreamExperiment.java
@@ -0,0 +1,174 @@
+package io.samphiregauge.bench;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.samphiregauge.core.config.KeyDigest;
+import io.samphiregauge.daemon.Entry;
+import io.samphiregauge.net.Address;
+import io.samphiregauge.net.Codec;
+import io.samphiregauge.net.HttpCaller;
+import io.samphiregauge.schema.config.Backend;
+import io.samphiregauge.schema.config.BackendKind;
+import io.samphiregauge.schema.config.Configuration;
+import io.samphiregauge.schema.config.Model;
+import io.samphiregauge.schema.config.Settings;
+import io.samphiregauge.schema.config.Team;
+import io.samphiregauge.schema.config.Withdrawal;
+import io.samphiregauge.schema.platform.AppendAnswer;
+import io.samphiregauge.schema.record.Incarnation;
+import io.samphiregauge.schema.record.LogRecord;
+import io.samphiregauge.schema.record.Note;
+import io.samphiregauge.standins.EngineStandin;
+import io.samphiregauge.standins.LogStandin;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Keeps 200 streams running on two entries while one of them is shut down gracefully and a note is
+ * applied, and counts the streams that were lost, crossed or cut.
+ *
+ * <pre>{@code
+ * bin/bench io.samphiregauge.bench.StreamExperiment 60 200
+ * }</pre>
+ */
+public final class StreamExperiment {
+  private static final Address ANY = new Address("127.0.0.1", 0);
+  private static final Configuration NOTHING =
+      new Configuration(List.of(), List.of(), List.of(), List.of());
+  private static final Withdrawal NONE =
+      new Withdrawal(List.of(), List.of(), List.of(), List.of(), List.of());
+  private static final Incarnation OPERATOR = new Incarnation("operator", 1L, 1L);
+  private static final int DEFAULT_SECONDS = 60;
+  private static final int MAX_SECONDS = 600;
+  private static final int DEFAULT_STREAMS = 200;
+  private static final int MAX_STREAMS = 1_000;
+  private static final int TOKEN_INTERVAL_MS = 20;
+  private static final int KEEP_MS = 1_000;
+  private static final int CALL_TIMEOUT_MS = 5_000;
+  private static final int READY_CHECKS = 1_000;
+  private static final int READY_INTERVAL_MS = 10;
+
+  private StreamExperiment() {}
+
+  /**
+   * Runs the experiment.
+   *
+   * @param args seconds and number of concurrent streams; 60 and 200 where absent
+   * @throws Exception where the run is interrupted or an entry does not drain
+   */
+  public static void main(String[] args) throws Exception {
+    int seconds = Math.min(MAX_SECONDS, argument(args, 0, DEFAULT_SECONDS));
+    int streams = Math.min(MAX_STREAMS, argument(args, 1, DEFAULT_STREAMS));
+    EventLoopGroup logLoop = new NioEventLoopGroup(1);
+    EventLoopGroup loops = new NioEventLoopGroup(4);
+    boolean clean;
+    try (LogStandin log = LogStandin.start(logLoop, ANY);
+        EngineStandin first = EngineStandin.start(loops, ANY, TOKEN_INTERVAL_MS);
+        EngineStandin second = EngineStandin.start(loops, ANY, TOKEN_INTERVAL_MS);
+        EngineStandin added = EngineStandin.start(loops, ANY, TOKEN_INTERVAL_MS)) {
+      long note = append(loops, log, 1, firstNote(first, second));
+      clean = run(loops, log, streams, seconds, secondNote(note, added));
+    }
+    loops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    logLoop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    if (!clean) {
+      System.exit(1);
+    }
+  }
+
+  private static boolean run(
+      EventLoopGroup loops, LogStandin log, int streams, int seconds, Note note) throws Exception {
+    Entry leaving = entry("vm1", log);
+    try (Entry staying = entry("vm2", log)) {
+      awaitReady(loops, leaving);
+      awaitReady(loops, staying);
+      StreamCallers callers =
+          StreamCallers.start(streams, List.of(leaving.address(), staying.address()));
+      TimeUnit.SECONDS.sleep(seconds / 3);
+      append(loops, log, 2, note);
+      TimeUnit.SECONDS.sleep(seconds / 3);
+      // A caller's directory answer is valid for this long after the entry has begun to leave.
+      CompletableFuture<Void> drained = leaving.drain();
+      callers.use(List.of(staying.address()));
+      drained.get(MAX_SECONDS, TimeUnit.SECONDS);
+      leaving.close();
+      TimeUnit.SECONDS.sleep(seconds - 2 * (seconds / 3));
+      return callers.finish();
+    }
+  }
+
+  private static Entry entry(String vm, LogStandin log) {
+    String json =
+        """
+        {"vm": "%s", "region": "luzon", "failureDomain": "a", "httpAddress": "127.0.0.1:0",
+         "peerAddress": "127.0.0.1:0", "logUrl": "http://%s", "seedPeers": [],
+         "clientHopUs": 200, "domainHopUs": 100, "directoryKeepMs": %d, "trafficThreads": 2}
+        """
+            .formatted(vm, log.address(), KEEP_MS);
+    byte[] bytes = json.getBytes(StandardCharsets.UTF_8);
+    Settings settings = Codec.json().decode(bytes, Settings.class).value().orElseThrow();
+    return Entry.start(settings, () -> System.nanoTime() / 1_000_000).value().orElseThrow();
+  }
+
+  private static void awaitReady(EventLoopGroup loops, Entry entry) throws InterruptedException {
+    HttpCaller caller = new HttpCaller(loops);
+    for (int i = 0; i < READY_CHECKS; i++) {
+      if (caller.get(entry.address(), "/readyz", CALL_TIMEOUT_MS).join().value().isPresent()) {
+        return;
+      }
+      TimeUnit.MILLISECONDS.sleep(READY_INTERVAL_MS);
+    }
+    throw new IllegalStateException("the entry " + entry.address() + " did not become ready");
+  }
+
+  private static long append(EventLoopGroup loops, LogStandin log, long sequence, Note note) {
+    byte[] json = Codec.json().encode(new LogRecord(OPERATOR, sequence, note));
+    return new HttpCaller(loops)
+        .post(log.address(), "/v1/streams/control/records", json, CALL_TIMEOUT_MS)
+        .join()
+        .flatMap(bytes -> Codec.json().decode(bytes, AppendAnswer.class))
+        .value()
+        .orElseThrow()
+        .getOffset();
+  }
+
+  private static Note firstNote(EngineStandin first, EngineStandin second) {
+    List<String> keys = List.of(KeyDigest.of(StreamCallers.KEY));
+    Configuration added =
+        new Configuration(
+            List.of(new Team("t1", keys, List.of("m1"), List.of(), 1.0)),
+            List.of(new Model("m1", List.of("1"), 1L, 1L)),
+            List.of(),
+            List.of(engine("e1", first), engine("e2", second)));
+    return new Note(-1L, "ops", added, NOTHING, NONE);
+  }
+
+  /** Adds an engine and a team while the streams run. */
+  private static Note secondNote(long previous, EngineStandin engine) {
+    List<Team> teams =
+        new ArrayList<>(
+            List.of(new Team("t2", List.of(KeyDigest.of("k2")), List.of("m1"), List.of(), 1.0)));
+    Configuration added =
+        new Configuration(teams, List.of(), List.of(), List.of(engine("e3", engine)));
+    return new Note(previous, "ops", added, NOTHING, NONE);
+  }
+
+  private static Backend engine(String name, EngineStandin engine) {
+    return new Backend(
+        name,
+        BackendKind.ENGINE,
+        engine.address().toString(),
+        "a",
+        List.of("m1"),
+        false,
+        true,
+        1_000);
+  }
+
+  private static int argument(String[] args, int index, int otherwise) {
+    return args.length > index ? Integer.parseInt(args[index]) : otherwise;
+  }
+}
