--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/log/Fold.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/log/Fold.java
@@ -26,6 +26,7 @@
 import io.samphiregauge.schema.record.UsageReportIntent;
 import io.samphiregauge.schema.record.UsageReported;
 import io.samphiregauge.schema.record.UsageSealed;
+import java.util.List;
 import java.util.Optional;
 import java.util.TreeMap;
 
@@ -80,7 +81,10 @@
         FoldedState.index(checkpoint.getOpenIntents(), intent -> intent.getOffset()),
         FoldedState.index(checkpoint.getWindows(), w -> UsageFold.key(w.getSealed())),
         sealed,
-        FoldedState.index(checkpoint.getPieces(), table -> table.getRegion()));
+        FoldedState.index(checkpoint.getPieces(), table -> table.getRegion()),
+        FoldedState.index(
+            checkpoint.getLastOrderers().orElse(List.of()), orderer -> orderer.getTarget()),
+        List.copyOf(checkpoint.getMissingUsage().orElse(List.of())));
   }
 
   /** Lets only live processes write; notes come from operators, who do not join. */
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/log/FoldedState.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/log/FoldedState.java
@@ -3,7 +3,9 @@
 import io.samphiregauge.core.config.ConfigView;
 import io.samphiregauge.schema.record.Checkpoint;
 import io.samphiregauge.schema.record.Incarnation;
+import io.samphiregauge.schema.record.LastOrderer;
 import io.samphiregauge.schema.record.LeaseState;
+import io.samphiregauge.schema.record.MissingUsage;
 import io.samphiregauge.schema.record.OpenIntent;
 import io.samphiregauge.schema.record.PieceTable;
 import io.samphiregauge.schema.record.ProcessState;
@@ -28,6 +30,8 @@
  * @param windows usage windows that are not reported yet, by region and number
  * @param lastSealedWindows newest sealed window by region
  * @param pieces division of capacity by region
+ * @param lastOrderers holders whose orders may still be under way, by target
+ * @param missingUsage counters that sealed windows lack
  */
 public record FoldedState(
     long upToOffset,
@@ -38,7 +42,9 @@
     Map<Long, OpenIntent> openIntents,
     Map<WindowKey, WindowState> windows,
     Map<String, Long> lastSealedWindows,
-    Map<String, PieceTable> pieces) {
+    Map<String, PieceTable> pieces,
+    Map<String, LastOrderer> lastOrderers,
+    List<MissingUsage> missingUsage) {
 
   /** Offset that stands for "none". */
   public static final long NO_OFFSET = -1;
@@ -67,7 +73,9 @@
         Map.of(),
         Map.of(),
         Map.of(),
-        Map.of());
+        Map.of(),
+        Map.of(),
+        List.of());
   }
 
   /**
@@ -144,7 +152,9 @@
         List.copyOf(openIntents.values()),
         List.copyOf(windows.values()),
         lastSealedWindows.entrySet().stream().map(FoldedState::toSealedWindow).toList(),
-        List.copyOf(pieces.values()));
+        List.copyOf(pieces.values()),
+        List.copyOf(lastOrderers.values()),
+        missingUsage);
   }
 
   private static SealedWindow toSealedWindow(Map.Entry<String, Long> entry) {
@@ -161,7 +171,9 @@
         openIntents,
         windows,
         lastSealedWindows,
-        pieces);
+        pieces,
+        lastOrderers,
+        missingUsage);
   }
 
   FoldedState withNote(long offset, ConfigView next) {
@@ -174,7 +186,9 @@
         openIntents,
         windows,
         lastSealedWindows,
-        pieces);
+        pieces,
+        lastOrderers,
+        missingUsage);
   }
 
   FoldedState withLease(LeaseState lease) {
@@ -187,7 +201,9 @@
         openIntents,
         windows,
         lastSealedWindows,
-        pieces);
+        pieces,
+        lastOrderers,
+        missingUsage);
   }
 
   FoldedState withProcess(ProcessState process) {
@@ -200,7 +216,9 @@
         openIntents,
         windows,
         lastSealedWindows,
-        pieces);
+        pieces,
+        lastOrderers,
+        missingUsage);
   }
 
   FoldedState withOpenIntents(Map<Long, OpenIntent> next) {
@@ -213,7 +231,9 @@
         next,
         windows,
         lastSealedWindows,
-        pieces);
+        pieces,
+        lastOrderers,
+        missingUsage);
   }
 
   FoldedState withWindows(Map<WindowKey, WindowState> next, Map<String, Long> nextLastSealed) {
@@ -226,7 +246,9 @@
         openIntents,
         next,
         nextLastSealed,
-        pieces);
+        pieces,
+        lastOrderers,
+        missingUsage);
   }
 
   FoldedState withPieces(PieceTable table) {
@@ -239,7 +261,39 @@
         openIntents,
         windows,
         lastSealedWindows,
-        with(pieces, table.getRegion(), table));
+        with(pieces, table.getRegion(), table),
+        lastOrderers,
+        missingUsage);
+  }
+
+  FoldedState withLastOrderers(Map<String, LastOrderer> next) {
+    return new FoldedState(
+        upToOffset,
+        noteOffset,
+        config,
+        leases,
+        processes,
+        openIntents,
+        windows,
+        lastSealedWindows,
+        pieces,
+        next,
+        missingUsage);
+  }
+
+  FoldedState withMissingUsage(List<MissingUsage> next) {
+    return new FoldedState(
+        upToOffset,
+        noteOffset,
+        config,
+        leases,
+        processes,
+        openIntents,
+        windows,
+        lastSealedWindows,
+        pieces,
+        lastOrderers,
+        List.copyOf(next));
   }
 
   static <K extends Comparable<K>, V> Map<K, V> with(Map<K, V> map, K key, V value) {
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/log/LeaseFold.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/log/LeaseFold.java
@@ -38,7 +38,8 @@
 
   static Result<FoldedState> release(
       FoldedState state, long offset, Incarnation writer, LeaseRelease release) {
-    return keep(state, offset, writer, release.getRole(), release.getToken(), true);
+    return keep(state, offset, writer, release.getRole(), release.getToken(), true)
+        .map(next -> OrderFold.settle(next, writer, release.getToken()));
   }
 
   private static Result<FoldedState> keep(
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/log/OrderFold.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/log/OrderFold.java
@@ -2,10 +2,13 @@
 
 import io.samphiregauge.core.result.Result;
 import io.samphiregauge.schema.record.Incarnation;
+import io.samphiregauge.schema.record.LastOrderer;
 import io.samphiregauge.schema.record.OpenIntent;
 import io.samphiregauge.schema.record.OrderDone;
 import io.samphiregauge.schema.record.OrderIntent;
 import io.samphiregauge.schema.record.ProcessState;
+import java.util.Map;
+import java.util.TreeMap;
 
 /** Folds order intents and their results. */
 final class OrderFold {
@@ -17,9 +20,12 @@
     if (!LeaseFold.holds(state, role, intent.getToken(), writer)) {
       return Result.failed(new RecordFailure.StaleToken(role, intent.getToken()));
     }
+    LastOrderer orderer = new LastOrderer(intent.getTarget(), writer, intent.getToken());
     return Result.success(
-        state.withOpenIntents(
-            FoldedState.with(state.openIntents(), offset, new OpenIntent(offset, intent))));
+        state
+            .withOpenIntents(
+                FoldedState.with(state.openIntents(), offset, new OpenIntent(offset, intent)))
+            .withLastOrderers(FoldedState.with(state.lastOrderers(), intent.getTarget(), orderer)));
   }
 
   static Result<FoldedState> finish(FoldedState state, Incarnation writer, OrderDone done) {
@@ -36,6 +42,13 @@
         state.withOpenIntents(FoldedState.without(state.openIntents(), done.getIntentOffset())));
   }
 
+  /** A holder that released its lease sends no order any more. */
+  static FoldedState settle(FoldedState state, Incarnation holder, long token) {
+    Map<String, LastOrderer> open = new TreeMap<>(state.lastOrderers());
+    open.values().removeIf(o -> o.getHolder().equals(holder) && o.getToken() == token);
+    return state.withLastOrderers(open);
+  }
+
   static String fleetRole(FoldedState state, Incarnation writer) {
     return "fleet/" + region(state, writer);
   }
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/log/UsageFold.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/log/UsageFold.java
@@ -3,10 +3,13 @@
 import io.samphiregauge.core.log.FoldedState.WindowKey;
 import io.samphiregauge.core.result.Result;
 import io.samphiregauge.schema.record.Incarnation;
+import io.samphiregauge.schema.record.MissingUsage;
 import io.samphiregauge.schema.record.UsageReportIntent;
 import io.samphiregauge.schema.record.UsageReported;
 import io.samphiregauge.schema.record.UsageSealed;
 import io.samphiregauge.schema.record.WindowState;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 
 /** Folds seals and reports of usage windows; the first seal of a window stands. */
@@ -30,9 +33,18 @@
     }
     WindowState window = new WindowState(offset, sealed, false, false);
     return Result.success(
-        state.withWindows(
-            FoldedState.with(state.windows(), key(sealed), window),
-            FoldedState.with(state.lastSealedWindows(), sealed.getRegion(), sealed.getWindow())));
+        state
+            .withWindows(
+                FoldedState.with(state.windows(), key(sealed), window),
+                FoldedState.with(state.lastSealedWindows(), sealed.getRegion(), sealed.getWindow()))
+            .withMissingUsage(missingAfter(state, sealed)));
+  }
+
+  private static List<MissingUsage> missingAfter(FoldedState state, UsageSealed sealed) {
+    List<MissingUsage> missing = new ArrayList<>(state.missingUsage());
+    missing.removeAll(sealed.getCorrected().orElse(List.of()));
+    missing.addAll(sealed.getMissing().orElse(List.of()));
+    return missing;
   }
 
   static Result<FoldedState> intend(
