--- /dev/null
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/usage/package-info.java
@@ -0,0 +1,2 @@
+/** Usage: counters of each entry, their copies, and reports that name each window once. */
+package io.samphiregauge.core.usage;
