Divide pieces of capacity by demand, and record the end of dead processes

Pieces of an ended process are given away 10.5 s after its end was read: until then it may have lost log contact without having fenced itself. The rule of the fold alone allowed two holders in that time.

--- /dev/null
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/member/EndedWatch.java
@@ -0,0 +1,142 @@
+package io.samphiregauge.core.member;
+
+import io.samphiregauge.core.Step;
+import io.samphiregauge.core.log.FoldedState;
+import io.samphiregauge.core.log.Freshness;
+import io.samphiregauge.schema.record.Ended;
+import io.samphiregauge.schema.record.Incarnation;
+import io.samphiregauge.schema.record.ProcessState;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+
+/**
+ * Records the end of processes that stay dead, on behalf of the holder of a fleet lease; immutable.
+ *
+ * @param deadSinceMs since when each process has been confirmed dead without a break
+ * @param writtenMs when the end of a process was last handed to the log writer
+ * @param endedSinceMs when this process learnt of each end
+ */
+public record EndedWatch(
+    Map<Incarnation, Long> deadSinceMs,
+    Map<Incarnation, Long> writtenMs,
+    Map<Incarnation, Long> endedSinceMs) {
+
+  /** Time for which a process is confirmed dead before its end is recorded. */
+  public static final long DEAD_MS = 2 * Freshness.SELF_FENCE_MS;
+
+  /**
+   * Time after its end from which on the pieces of a process are given away. In this time the
+   * process has either read of its end or fenced itself; the clock rate may be wrong by 1 in 20.
+   */
+  public static final long PIECES_MS = Freshness.SELF_FENCE_MS * 21 / 20;
+
+  private static final long WRITE_AGAIN_MS = 10_000;
+
+  /** Copies the maps. */
+  public EndedWatch {
+    deadSinceMs = Collections.unmodifiableMap(new LinkedHashMap<>(deadSinceMs));
+    writtenMs = Collections.unmodifiableMap(new LinkedHashMap<>(writtenMs));
+    endedSinceMs = Collections.unmodifiableMap(new LinkedHashMap<>(endedSinceMs));
+  }
+
+  /**
+   * Makes a watch that has seen nothing.
+   *
+   * @return the watch
+   */
+  public static EndedWatch none() {
+    return new EndedWatch(Map.of(), Map.of(), Map.of());
+  }
+
+  /**
+   * Looks at the processes of a region.
+   *
+   * @param state folded state
+   * @param region region of this process
+   * @param members membership view
+   * @param token fencing token of the fleet lease, where this process may act
+   * @param nowMs current time
+   * @return the next watch, and the ends to record
+   */
+  public Step<EndedWatch, Ended> look(
+      FoldedState state, String region, Membership members, OptionalLong token, long nowMs) {
+    List<Incarnation> processes = liveProcesses(state, region);
+    Map<Incarnation, Long> dead = new LinkedHashMap<>();
+    Map<Incarnation, Long> written = new LinkedHashMap<>(writtenMs);
+    written.keySet().retainAll(processes);
+    if (hearsFromMajority(processes, members)) {
+      for (Incarnation process : processes) {
+        if (isSilent(process, members)) {
+          dead.put(process, deadSinceMs.getOrDefault(process, nowMs));
+        }
+      }
+    }
+    List<Ended> ends = new ArrayList<>();
+    dead.forEach(
+        (process, sinceMs) -> {
+          long lastMs = written.getOrDefault(process, nowMs - WRITE_AGAIN_MS);
+          if (token.isPresent() && nowMs - sinceMs >= DEAD_MS && nowMs - lastMs >= WRITE_AGAIN_MS) {
+            written.put(process, nowMs);
+            ends.add(new Ended(process, token.getAsLong()));
+          }
+        });
+    return new Step<>(new EndedWatch(dead, written, endedSince(state, nowMs)), ends);
+  }
+
+  /**
+   * Tells whether a process can use its pieces no more.
+   *
+   * @param process the process
+   * @param nowMs current time
+   * @return true once its end has been known for {@link #PIECES_MS}
+   */
+  public boolean isGone(Incarnation process, long nowMs) {
+    return endedSinceMs.containsKey(process) && nowMs - endedSinceMs.get(process) >= PIECES_MS;
+  }
+
+  /**
+   * Tells whether a majority of processes is alive in the view of this one.
+   *
+   * @param processes processes that have not ended, this one included
+   * @param members membership view
+   * @return true where more than half are alive
+   */
+  static boolean hearsFromMajority(List<Incarnation> processes, Membership members) {
+    long heard = processes.stream().filter(process -> !isSilent(process, members)).count();
+    return heard > processes.size() / 2;
+  }
+
+  private static boolean isSilent(Incarnation process, Membership members) {
+    if (process.equals(members.self().getIncarnation())) {
+      return false;
+    }
+    boolean known =
+        members
+            .find(process.getVm())
+            .filter(other -> other.member().getIncarnation().equals(process))
+            .isPresent();
+    return !known || members.isConfirmedDead(process);
+  }
+
+  private static List<Incarnation> liveProcesses(FoldedState state, String region) {
+    return state.processes().values().stream()
+        .filter(p -> !p.isEnded() && p.getJoined().getRegion().equals(region))
+        .map(ProcessState::getIncarnation)
+        .toList();
+  }
+
+  /** Only holders of pieces matter; the others are forgotten. */
+  private Map<Incarnation, Long> endedSince(FoldedState state, long nowMs) {
+    Map<Incarnation, Long> ended = new LinkedHashMap<>();
+    state.pieces().values().stream()
+        .flatMap(table -> table.getRanges().stream())
+        .map(range -> range.getHolder())
+        .filter(state::hasEnded)
+        .forEach(holder -> ended.put(holder, endedSinceMs.getOrDefault(holder, nowMs)));
+    return ended;
+  }
+}
--- /dev/null
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/piece/PiecePlan.java
@@ -0,0 +1,147 @@
+package io.samphiregauge.core.piece;
+
+import io.samphiregauge.schema.record.Incarnation;
+import io.samphiregauge.schema.record.PieceRange;
+import io.samphiregauge.schema.record.PieceRelease;
+import io.samphiregauge.schema.record.PieceTable;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.function.Predicate;
+
+/**
+ * Divides the pieces of a region by demand. Pieces move only by release or by the end of their
+ * holder, so the plan gives away free pieces and never takes one.
+ *
+ * @param total number of pieces of the region
+ * @param entries live entries
+ * @param demand demand at each entry
+ */
+public record PiecePlan(int total, List<Incarnation> entries, PieceDemand demand) {
+  /** Capacity of a piece. */
+  public static final int PIECE_TOKENS_PER_SECOND = 1_000;
+
+  /** Part of its share by which an entry exceeds it before it releases pieces, as 1 in so many. */
+  private static final int SLACK = 10;
+
+  /** Checks the number and copies the list. */
+  public PiecePlan {
+    if (total < 0) {
+      throw new IllegalArgumentException("total: " + total);
+    }
+    entries = List.copyOf(entries);
+  }
+
+  /**
+   * Gives the free pieces to the entries that lack most.
+   *
+   * @param region region of the pieces
+   * @param token fencing token of the fleet lease
+   * @param current table in force
+   * @param isGone tells which holders can use their pieces no more
+   * @return the next table, or empty where nothing is free
+   */
+  public Optional<PieceTable> next(
+      String region, long token, Optional<PieceTable> current, Predicate<Incarnation> isGone) {
+    List<Optional<Incarnation>> holders = holders(current, isGone);
+    if (entries.isEmpty() || holders.stream().limit(total).allMatch(Optional::isPresent)) {
+      return Optional.empty();
+    }
+    Map<Incarnation, Double> lacks = lacks(holders);
+    PriorityQueue<Incarnation> neediest =
+        new PriorityQueue<>(
+            Comparator.comparingDouble((Incarnation e) -> -lacks.get(e))
+                .thenComparing(Incarnation::getVm));
+    neediest.addAll(entries);
+    for (int piece = 0; piece < total; piece++) {
+      if (holders.get(piece).isEmpty()) {
+        Incarnation taker = neediest.remove();
+        holders.set(piece, Optional.of(taker));
+        lacks.merge(taker, -1.0, Double::sum);
+        neediest.add(taker);
+      }
+    }
+    return Optional.of(new PieceTable(region, token, PIECE_TOKENS_PER_SECOND, ranges(holders)));
+  }
+
+  /**
+   * Finds pieces that an entry no longer needs.
+   *
+   * @param current table in force
+   * @param self the entry
+   * @return the pieces to release, or empty
+   */
+  public Optional<PieceRelease> surplus(PieceTable current, Incarnation self) {
+    int held = 0;
+    Optional<PieceRange> last = Optional.empty();
+    for (PieceRange range : current.getRanges()) {
+      if (range.getHolder().equals(self)) {
+        held += range.getCount();
+        last = Optional.of(range);
+      }
+    }
+    double share = share(self);
+    int excess = held - (int) Math.ceil(share + Math.max(1, share / SLACK));
+    return last.flatMap(range -> release(range, excess));
+  }
+
+  /** Releases the end of a range: what lies past the total, or what exceeds the share. */
+  private Optional<PieceRelease> release(PieceRange range, int excess) {
+    int end = range.getFirst() + range.getCount();
+    int count = Math.min(range.getCount(), Math.max(excess, end - total));
+    return count > 0 ? Optional.of(new PieceRelease(end - count, count)) : Optional.empty();
+  }
+
+  private List<Optional<Incarnation>> holders(
+      Optional<PieceTable> current, Predicate<Incarnation> isGone) {
+    List<Optional<Incarnation>> holders = new ArrayList<>();
+    for (int i = 0; i < total; i++) {
+      holders.add(Optional.empty());
+    }
+    for (PieceRange range : current.map(PieceTable::getRanges).orElse(List.of())) {
+      if (isGone.test(range.getHolder())) {
+        continue;
+      }
+      int end = range.getFirst() + range.getCount();
+      while (holders.size() < end) {
+        holders.add(Optional.empty());
+      }
+      for (int piece = range.getFirst(); piece < end; piece++) {
+        holders.set(piece, Optional.of(range.getHolder()));
+      }
+    }
+    return holders;
+  }
+
+  private Map<Incarnation, Double> lacks(List<Optional<Incarnation>> holders) {
+    Map<Incarnation, Double> lacks = new LinkedHashMap<>();
+    entries.forEach(entry -> lacks.put(entry, share(entry)));
+    holders.forEach(
+        holder -> holder.ifPresent(h -> lacks.computeIfPresent(h, (entry, lack) -> lack - 1)));
+    return lacks;
+  }
+
+  private double share(Incarnation entry) {
+    double sum = entries.stream().mapToDouble(demand::of).sum();
+    return sum > 0 ? total * demand.of(entry) / sum : (double) total / entries.size();
+  }
+
+  private static List<PieceRange> ranges(List<Optional<Incarnation>> holders) {
+    List<PieceRange> ranges = new ArrayList<>();
+    int first = 0;
+    for (int piece = 1; piece <= holders.size(); piece++) {
+      if (piece < holders.size() && holders.get(piece).equals(holders.get(first))) {
+        continue;
+      }
+      int start = first;
+      int count = piece - first;
+      holders.get(first).ifPresent(h -> ranges.add(new PieceRange(start, count, h)));
+      first = piece;
+    }
+    return ranges;
+  }
+}
