--- a/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/traffic/TrafficServer.java
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/traffic/TrafficServer.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.agrona.CloseHelper;
@@ -132,7 +133,7 @@
     Map<EventExecutor, Routes> routes = new HashMap<>();
     for (EventLoop eventLoop : eventLoops) {
       BackendIndex index = new BackendIndex();
-      Router router = new Router(parts, shared.loads(), index, log);
+      Router router = new Router(parts, shared.loads(), index, log.lines(eventLoop));
       TrafficLoop state =
           new TrafficLoop(
               eventLoop,
@@ -140,6 +141,7 @@
               shared,
               new HttpPool(eventLoop),
               router,
+              () -> ThreadLocalRandom.current().nextLong(),
               new RetryBudget(),
               book(parts, states.size(), eventLoops.size()));
       states.add(state);
