--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/Codec.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/Codec.java
@@ -1,15 +1,10 @@
 package io.samphiregauge.net;
 
-import com.fasterxml.jackson.annotation.JsonFormat;
-import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.introspect.Annotated;
-import com.fasterxml.jackson.databind.introspect.AnnotatedClass;
-import com.fasterxml.jackson.databind.introspect.JacksonAnnotationIntrospector;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.jsontype.NamedType;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
@@ -97,20 +92,24 @@
           SuspicionAck.class,
           LoadDigest.class);
 
-  private static final Codec JSON = new Codec(JsonMapper.builder().build(), bytes -> {});
+  private static final Codec JSON =
+      new Codec(JsonMapper.builder().build(), SchemaIntrospector.forObjects(), bytes -> {});
   private static final Codec MESSAGE_PACK =
-      new Codec(compact(new MessagePackFactory()), Codec::checkLengths);
+      new Codec(
+          new ObjectMapper(new MessagePackFactory()),
+          SchemaIntrospector.forArrays(),
+          Codec::checkLengths);
 
   private final ObjectMapper mapper;
   private final FormatCheck check;
 
-  private Codec(ObjectMapper mapper, FormatCheck check) {
+  private Codec(ObjectMapper mapper, SchemaIntrospector introspector, FormatCheck check) {
     this.mapper = mapper;
     this.check = check;
     mapper.registerModule(new Jdk8Module());
     mapper.enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
     mapper.enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
-    mapper.setDefaultPropertyInclusion(JsonInclude.Include.NON_ABSENT);
+    mapper.setAnnotationIntrospector(introspector);
     mapper.addMixIn(RecordBody.class, Kinded.class);
     mapper.addMixIn(PeerMessage.class, Kinded.class);
     mapper.addMixIn(EngineOrder.class, Kinded.class);
@@ -133,33 +132,6 @@
     }
   }
 
-  /** Writes objects as arrays; field names took more than half of the bytes of a usage copy. */
-  private static ObjectMapper compact(MessagePackFactory factory) {
-    ObjectMapper mapper = new ObjectMapper(factory);
-    mapper.setDefaultPropertyInclusion(JsonInclude.Include.ALWAYS);
-    mapper.setAnnotationIntrospector(new ArrayShape());
-    return mapper;
-  }
-
-  /** Gives each generated class the shape of an array, in the order of its schema. */
-  private static final class ArrayShape extends JacksonAnnotationIntrospector {
-    private static final long serialVersionUID = 1L;
-    private static final String SCHEMA_PACKAGE = RecordBody.class.getPackageName();
-
-    @Override
-    public JsonFormat.Value findFormat(Annotated annotated) {
-      Class<?> type = annotated.getRawType();
-      boolean generated = annotated instanceof AnnotatedClass && isGenerated(type);
-      return generated
-          ? JsonFormat.Value.forShape(JsonFormat.Shape.ARRAY)
-          : super.findFormat(annotated);
-    }
-
-    private static boolean isGenerated(Class<?> type) {
-      return type.getPackageName().startsWith(SCHEMA_PACKAGE) && !type.isEnum();
-    }
-  }
-
   /** Writes the name of the class into the field {@code kind}. */
   @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "kind")
   private interface Kinded {}
