Add the demo, and wire replay, trace and verify into samphirectl

One process runs the log, the platform, three engines, a service and three entries; the demo applies a note, streams an answer, books once with two calls, and shows the status.

--- a/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/CommandOptions.java
+++ b/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/CommandOptions.java
@@ -4,8 +4,6 @@
 import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
 
 /** Options of the commands, in the form that JCommander fills. */
@@ -62,45 +60,115 @@
   }
 
   @Parameters
-  static final class Status implements Options {
+  static final class Keys implements Options {
     @ParametersDelegate private final CommonOptions common = new CommonOptions();
 
-    @Parameter(
-        names = "--entry",
-        description = "Address of an entry to ask; may be repeated; works without the log")
-    private List<String> entries = new ArrayList<>();
+    @Parameter(description = "new", required = true)
+    private String action;
+
+    @Parameter(names = "--team", description = "Team that gets the key, by a note")
+    private String team;
 
     @Override
     public CommonOptions common() {
       return common;
     }
 
-    List<String> entries() {
-      return entries;
+    String action() {
+      return action;
+    }
+
+    Optional<String> team() {
+      return Optional.ofNullable(team);
     }
   }
 
   @Parameters
-  static final class Keys implements Options {
+  static final class Replay implements Options {
     @ParametersDelegate private final CommonOptions common = new CommonOptions();
 
-    @Parameter(description = "new", required = true)
-    private String action;
+    @Parameter(names = "--trace", required = true, description = "Trace of JSON lines")
+    private String trace;
 
-    @Parameter(names = "--team", description = "Team that gets the key, by a note")
-    private String team;
+    @Parameter(names = "--settings", description = "Settings; those of the deployment where absent")
+    private String settings;
+
+    @Parameter(names = "--policy", description = "Policy; all where absent")
+    private String policy;
+
+    @Parameter(names = "--report", description = "Directory for an HTML page with plots")
+    private String report;
 
     @Override
     public CommonOptions common() {
       return common;
     }
 
-    String action() {
-      return action;
+    Path trace() {
+      return Path.of(trace);
     }
 
-    Optional<String> team() {
-      return Optional.ofNullable(team);
+    Optional<Path> settings() {
+      return Optional.ofNullable(settings).map(Path::of);
+    }
+
+    Optional<String> policy() {
+      return Optional.ofNullable(policy);
+    }
+
+    Optional<Path> report() {
+      return Optional.ofNullable(report).map(Path::of);
+    }
+  }
+
+  @Parameters
+  static final class Trace implements Options {
+    @ParametersDelegate private final CommonOptions common = new CommonOptions();
+
+    @Parameter(names = "--deployment", description = "th-central or luzon")
+    String deployment = "th-central";
+
+    @Parameter(names = "--shape", required = true, description = "Shape of the traffic")
+    String shape;
+
+    @Parameter(names = "--seed", description = "Seed")
+    long seed = 1;
+
+    @Parameter(names = "--scale", description = "Factor on all times")
+    double scale = 1;
+
+    @Override
+    public CommonOptions common() {
+      return common;
+    }
+  }
+
+  @Parameters
+  static final class Verify implements Options {
+    @ParametersDelegate private final CommonOptions common = new CommonOptions();
+
+    @Parameter(names = "--schedules", description = "Number of schedules")
+    long schedules = 100_000;
+
+    @Parameter(names = "--seed", description = "Seed of the first schedule")
+    long seed = 1;
+
+    @Override
+    public CommonOptions common() {
+      return common;
+    }
+  }
+
+  @Parameters
+  static final class Demo implements Options {
+    @ParametersDelegate private final CommonOptions common = new CommonOptions();
+
+    @Parameter(names = "--keep", description = "Go on running until the process is interrupted")
+    boolean keep;
+
+    @Override
+    public CommonOptions common() {
+      return common;
     }
   }
 }
--- a/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/Commands.java
+++ b/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/Commands.java
@@ -7,6 +7,8 @@
 
 /** The commands by name. A new command is one more line in {@link #all}. */
 final class Commands {
+  private final Map<String, Registered> byName = new LinkedHashMap<>();
+
   private Commands() {}
 
   /**
@@ -18,47 +20,65 @@
    */
   record Registered(String description, Options options, Command command) {}
 
+  /** A command that still lacks its options. */
+  @FunctionalInterface
+  private interface WithOptions<T> {
+    Result<Report> run(Session session, T options);
+  }
+
   /** Makes the commands, with options that are not filled yet. */
   static Map<String, Registered> all() {
-    Map<String, Registered> commands = new LinkedHashMap<>();
-    var check = new CommandOptions.WithFile();
-    commands.put(
+    Commands commands = new Commands();
+    commands.addOperations();
+    commands.addStudies();
+    return commands.byName;
+  }
+
+  private void addOperations() {
+    add(
         "check",
-        new Registered(
-            "Check a release note file",
-            check,
-            session -> NoteCommands.check(session, check.file())));
-    var apply = new CommandOptions.WithFile();
-    commands.put(
+        "Check a release note file",
+        new CommandOptions.WithFile(),
+        (session, options) -> NoteCommands.check(session, options.file()));
+    add(
         "apply",
-        new Registered(
-            "Apply a release note file",
-            apply,
-            session -> NoteCommands.apply(session, apply.file())));
-    commands.put(
+        "Apply a release note file",
+        new CommandOptions.WithFile(),
+        (session, options) -> NoteCommands.apply(session, options.file()));
+    add(
         "history",
-        new Registered(
-            "List the release notes", new CommandOptions.Plain(), ViewCommands::history));
-    var status = new CommandOptions.Status();
-    commands.put(
+        "List the release notes",
+        new CommandOptions.Plain(),
+        (session, options) -> ViewCommands.history(session));
+    add(
         "status",
-        new Registered(
-            "Show entries and leases",
-            status,
-            session -> ViewCommands.status(session, status.entries())));
-    var drain = new CommandOptions.WithBackend();
-    commands.put(
+        "Show entries and leases",
+        new CommandOptions.Plain(),
+        (session, options) -> ViewCommands.status(session));
+    add(
         "drain",
-        new Registered(
-            "Take a backend server out of service",
-            drain,
-            session -> NoteCommands.drain(session, drain.backend())));
-    commands.put(
+        "Take a backend server out of service",
+        new CommandOptions.WithBackend(),
+        (session, options) -> NoteCommands.drain(session, options.backend()));
+    add(
         "usage",
-        new Registered("List the sealed usage", new CommandOptions.Plain(), ViewCommands::usage));
-    var keys = new CommandOptions.Keys();
-    commands.put("keys", new Registered("Make a key", keys, session -> keys(session, keys)));
-    return commands;
+        "List the sealed usage",
+        new CommandOptions.Plain(),
+        (session, options) -> ViewCommands.usage(session));
+    add("keys", "Make a key", new CommandOptions.Keys(), Commands::keys);
+  }
+
+  private void addStudies() {
+    add("demo", "Run the whole system once", new CommandOptions.Demo(), Demo::run);
+    add("replay", "Replay a trace", new CommandOptions.Replay(), StudyCommands::replay);
+    add("trace", "Write a trace", new CommandOptions.Trace(), StudyCommands::trace);
+    add("verify", "Run fault schedules", new CommandOptions.Verify(), StudyCommands::verify);
+  }
+
+  private <T extends Options> void add(
+      String name, String description, T options, WithOptions<T> command) {
+    byName.put(
+        name, new Registered(description, options, session -> command.run(session, options)));
   }
 
   private static Result<Report> keys(Session session, CommandOptions.Keys options) {
--- a/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/CommonOptions.java
+++ b/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/CommonOptions.java
@@ -1,6 +1,8 @@
 package io.samphiregauge.ctl;
 
 import com.beust.jcommander.Parameter;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -16,9 +18,18 @@
       description = "Base URL of the log service; " + LOG_VARIABLE + " where absent")
   private String log;
 
+  @Parameter(
+      names = "--entry",
+      description = "Address of an entry to ask; may be repeated; those in the log where absent")
+  private List<String> entries = new ArrayList<>();
+
   @Parameter(names = "--help", help = true, description = "Print the usage of the command")
   boolean help;
 
+  List<String> entries() {
+    return entries;
+  }
+
   Optional<String> logUrl(Map<String, String> environment) {
     return Optional.ofNullable(log).or(() -> Optional.ofNullable(environment.get(LOG_VARIABLE)));
   }
--- /dev/null
+++ b/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/Demo.java
@@ -0,0 +1,150 @@
+package io.samphiregauge.ctl;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.samphiregauge.core.result.Result;
+import io.samphiregauge.net.Codec;
+import io.samphiregauge.schema.ctl.ApplyReport;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+
+/** The demo: the whole system in one process, a first note, and a request of each kind. */
+final class Demo {
+  private static final String TICKET_HEADER = "Samphire-Ticket";
+  private static final int NS_PER_MS = 1_000_000;
+  private static final String PROMPT =
+      "{\"model\":\"%s\",\"prompt\":\"When is the cloth presented?\",\"max_tokens\":5}"
+          .formatted(DemoCluster.MODEL);
+
+  private final DemoCluster cluster;
+  private final Session session;
+  private final String key;
+  private final HttpClient client = HttpClient.newHttpClient();
+
+  private Demo(DemoCluster cluster, Session session, String key) {
+    this.cluster = cluster;
+    this.session = session;
+    this.key = key;
+  }
+
+  /** Runs the demo; with {@code --keep} until the process is interrupted. */
+  static Result<Report> run(Session outer, CommandOptions.Demo options) {
+    Result<DemoCluster> started = DemoCluster.start(() -> System.nanoTime() / NS_PER_MS);
+    return started.flatMap(cluster -> run(cluster, outer::say, options.keep));
+  }
+
+  private static Result<Report> run(DemoCluster cluster, Consumer<String> progress, boolean keep) {
+    try (cluster;
+        Session session =
+            new Session(Optional.of(cluster.logUrl()), cluster.entryAddresses(), progress)) {
+      Demo demo = new Demo(cluster, session, NoteCommands.makeKey());
+      return demo.show().flatMap(report -> keep ? demo.keep(report) : Result.success(report));
+    }
+  }
+
+  private Result<Report> show() {
+    session.say("log " + cluster.logUrl());
+    cluster.entryAddresses().forEach(address -> session.say("entry http://" + address));
+    Result<ApplyReport> applied =
+        NoteRun.append(session, view -> Result.success(cluster.firstNote(key)))
+            .map(accepted -> NoteRun.confirm(session, accepted));
+    return applied.flatMap(this::request);
+  }
+
+  private Result<Report> request(ApplyReport applied) {
+    NoteRun.report(applied).lines().forEach(session::say);
+    try {
+      session.say("");
+      session.say("POST /v1/completions " + PROMPT);
+      stream();
+      session.say("");
+      book();
+      session.say("");
+      return ViewCommands.status(session);
+    } catch (IOException e) {
+      return Result.failed(new CtlFailure.TooLate("The demo lost its entry: " + e));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return Result.failed(new CtlFailure.TooLate("The demo was interrupted."));
+    }
+  }
+
+  /** Prints the answer while it arrives. */
+  private void stream() throws IOException, InterruptedException {
+    HttpRequest request =
+        request("/v1/completions").POST(HttpRequest.BodyPublishers.ofString(PROMPT)).build();
+    HttpResponse<Stream<String>> answer = client.send(request, HttpResponse.BodyHandlers.ofLines());
+    answer.body().filter(line -> !line.isEmpty()).forEach(session::say);
+  }
+
+  /** Makes a booking without a ticket, then twice with the ticket of the refusal. */
+  private void book() throws IOException, InterruptedException {
+    String path = "/v1/services/%s/book".formatted(DemoCluster.SERVICE);
+    session.say("POST " + path + " without a ticket, then twice with one");
+    HttpResponse<String> refused = book(path, Optional.empty());
+    session.say(refused.statusCode() + " " + refused.body());
+    String ticket = ticket(refused.body());
+    for (int attempt = 0; attempt < 2; attempt++) {
+      HttpResponse<String> answer = book(path, Optional.of(ticket));
+      session.say(answer.statusCode() + " " + answer.body());
+    }
+    session.say("runs of this ticket on the service: " + cluster.runs(ticket));
+  }
+
+  private HttpResponse<String> book(String path, Optional<String> ticket)
+      throws IOException, InterruptedException {
+    HttpRequest.Builder request =
+        request(path).POST(HttpRequest.BodyPublishers.ofString("{\"family\":\"Suda\"}"));
+    ticket.ifPresent(text -> request.header(TICKET_HEADER, text));
+    return client.send(request.build(), HttpResponse.BodyHandlers.ofString());
+  }
+
+  private HttpRequest.Builder request(String path) {
+    String entry = cluster.entryAddresses().get(0);
+    return HttpRequest.newBuilder(URI.create("http://" + entry + path))
+        .header("Authorization", "Bearer " + key);
+  }
+
+  private static String ticket(String refusal) {
+    return Codec.json()
+        .decodeTree(refusal.getBytes(StandardCharsets.UTF_8))
+        .map((JsonNode tree) -> tree.path("error").path("ticket").asText(""))
+        .value()
+        .orElse("");
+  }
+
+  private Result<Report> keep(Report report) {
+    report.lines().forEach(session::say);
+    curls().forEach(session::say);
+    try {
+      new CountDownLatch(1).await();
+      return Result.success(report);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return Result.success(report);
+    }
+  }
+
+  private List<String> curls() {
+    String entry = "http://" + cluster.entryAddresses().get(0);
+    String bearer = "-H 'Authorization: Bearer " + key + "'";
+    return List.of(
+        "",
+        "The system runs until you press Ctrl-C. Try:",
+        "curl -N %s -d '%s' %s/v1/completions".formatted(bearer, PROMPT, entry),
+        "curl %s '%s/v1/directory?model=%s'".formatted(bearer, entry, DemoCluster.MODEL),
+        "curl %s/v1/status".formatted(entry),
+        "curl %s/metrics".formatted(entry),
+        "bin/samphirectl history --log " + cluster.logUrl(),
+        "bin/samphirectl drain engine-th-central-a --log %s --entry %s"
+            .formatted(cluster.logUrl(), cluster.entryAddresses().get(0)));
+  }
+}
--- a/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/Main.java
+++ b/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/Main.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 /** The binary {@code samphirectl}. Exit codes: 0 done, 1 failed, 2 wrong command line. */
 public final class Main {
@@ -111,7 +112,8 @@
 
   private int runCommand(Registered registered) {
     CommonOptions options = registered.options().common();
-    try (Session session = new Session(options.logUrl(environment))) {
+    Consumer<String> progress = options.json ? line -> {} : out::println;
+    try (Session session = new Session(options.logUrl(environment), options.entries(), progress)) {
       Result<Report> result = registered.command().run(session);
       return result.fold(
           report -> print(report, options.json), failure -> print(failure, options.json));
@@ -124,7 +126,7 @@
     } else {
       report.lines().forEach(out::println);
     }
-    return DONE;
+    return report.exitStatus();
   }
 
   private int print(Failure failure, boolean json) {
--- a/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/NoteCommands.java
+++ b/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/NoteCommands.java
@@ -87,15 +87,14 @@
   }
 
   private static Report newKeyReport(String key, String digest, String team, ApplyReport applied) {
-    return new Report(
+    return Report.of(
         new KeyReport(key, digest, team, applied.getOffset()),
-        List.of(
-            "key:    " + key,
-            "digest: " + digest,
-            "The key is not shown again. It belongs to the team \"%s\" since offset %d."
-                .formatted(team, applied.getOffset()),
-            "It is in force on %d of %d entries."
-                .formatted(applied.getEntriesInForce(), applied.getEntries().size())));
+        "key:    " + key,
+        "digest: " + digest,
+        "The key is not shown again. It belongs to the team \"%s\" since offset %d."
+            .formatted(team, applied.getOffset()),
+        "It is in force on %d of %d entries."
+            .formatted(applied.getEntriesInForce(), applied.getEntries().size()));
   }
 
   private static Result<Report> applyNote(Session session, Function<LogView, Result<Note>> note) {
@@ -160,7 +159,7 @@
         team.getSpendPerHourMicros().orElse(null));
   }
 
-  private static String makeKey() {
+  static String makeKey() {
     byte[] bytes = new byte[KEY_BYTES];
     RANDOM.nextBytes(bytes);
     return KEY_PREFIX + Base64.getUrlEncoder().withoutPadding().encodeToString(bytes);
--- a/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/NoteRun.java
+++ b/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/NoteRun.java
@@ -46,7 +46,7 @@
 
   /** Asks the entries until the note is in force on all, or the time for that is over. */
   static ApplyReport confirm(Session session, NoteAppender.Accepted accepted) {
-    List<EntryClient.Target> targets = EntryClient.live(accepted.view().state());
+    List<EntryClient.Target> targets = session.targets(accepted.view().state());
     List<EntryState> states = List.of();
     for (long pauseMs : PAUSES_MS) {
       session.pause(pauseMs);
--- a/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/Report.java
+++ b/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/Report.java
@@ -8,15 +8,16 @@
  *
  * @param message the result for programs, a message of the schema
  * @param lines the result for people
+ * @param exitStatus exit status of the process
  */
-record Report(Object message, List<String> lines) {
+record Report(Object message, List<String> lines, int exitStatus) {
   static Report of(Object message, String... lines) {
-    return new Report(message, List.of(lines));
+    return new Report(message, List.of(lines), Main.DONE);
   }
 
   Report with(Table table) {
     List<String> all = new ArrayList<>(lines);
     all.addAll(table.lines());
-    return new Report(message, all);
+    return new Report(message, all, exitStatus);
   }
 }
--- a/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/Session.java
+++ b/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/Session.java
@@ -1,12 +1,15 @@
 package io.samphiregauge.ctl;
 
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.samphiregauge.core.log.FoldedState;
 import io.samphiregauge.core.result.Result;
 import io.samphiregauge.net.Address;
 import io.samphiregauge.net.HttpCaller;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
 
 /** Connections of one run of the command. */
 final class Session implements AutoCloseable {
@@ -15,12 +18,35 @@
   private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
   private final HttpCaller caller = new HttpCaller(loops);
   private final Optional<String> logUrl;
+  private final List<String> entries;
+  private final Consumer<String> progress;
 
   /**
    * @param logUrl base URL of the log service, where the operator has named one
+   * @param entries addresses of entries that the operator has named
+   * @param progress receives lines for people while the command runs
    */
-  Session(Optional<String> logUrl) {
+  Session(Optional<String> logUrl, List<String> entries, Consumer<String> progress) {
     this.logUrl = logUrl;
+    this.entries = List.copyOf(entries);
+    this.progress = progress;
+  }
+
+  /** Prints a line while the command runs. */
+  void say(String line) {
+    progress.accept(line);
+  }
+
+  /** Tells whether the operator has named entries. */
+  boolean namesEntries() {
+    return !entries.isEmpty();
+  }
+
+  /** Returns the entries that the operator has named, or else those that have joined. */
+  List<EntryClient.Target> targets(FoldedState state) {
+    return namesEntries()
+        ? entries.stream().map(EntryClient.Target::at).toList()
+        : EntryClient.live(state);
   }
 
   /** Tells whether the operator has named a log. */
--- /dev/null
+++ b/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/StudyCommands.java
@@ -0,0 +1,88 @@
+package io.samphiregauge.ctl;
+
+import io.samphiregauge.core.result.Result;
+import io.samphiregauge.replay.Replay;
+import io.samphiregauge.replay.Trace;
+import io.samphiregauge.schema.replay.ReplayReport;
+import io.samphiregauge.schema.replay.ReplaySettings;
+import io.samphiregauge.verify.FailedSchedule;
+import io.samphiregauge.verify.Verification;
+import io.samphiregauge.verify.VerificationReport;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** Commands that replay traces and run fault schedules; they use no network. */
+final class StudyCommands {
+  private StudyCommands() {}
+
+  /** Replays a trace under one policy or all. */
+  static Result<Report> replay(Session session, CommandOptions.Replay options) {
+    return Replay.readTrace(options.trace())
+        .flatMap(trace -> withSettings(Replay.of(trace), options.settings()))
+        .map(replay -> options.policy().map(replay::policy).orElse(replay))
+        .flatMap(Replay::run)
+        .flatMap(reports -> withPage(reports, options.report()));
+  }
+
+  /** Prints a seeded trace as JSON lines. */
+  static Result<Report> trace(Session session, CommandOptions.Trace options) {
+    return Replay.makeTrace(options.deployment, options.shape, options.seed, options.scale)
+        .map(trace -> new Report(trace, lines(trace), Main.DONE));
+  }
+
+  /** Runs fault schedules, and prints the trace of each one that breaks a promise. */
+  static Result<Report> verify(Session session, CommandOptions.Verify options) {
+    if (options.schedules < 1) {
+      return Result.failed(new CtlFailure.Usage("--schedules must be greater than 0."));
+    }
+    return Result.success(report(Verification.of(options.schedules, options.seed).run()));
+  }
+
+  private static Result<Replay> withSettings(Replay replay, Optional<Path> file) {
+    Optional<Result<ReplaySettings>> settings = file.map(Replay::readSettings);
+    return settings.map(read -> read.map(replay::settings)).orElseGet(() -> Result.success(replay));
+  }
+
+  private static Result<Report> withPage(List<ReplayReport> reports, Optional<Path> directory) {
+    List<String> lines = new ArrayList<>(Replay.table(reports).lines().toList());
+    if (directory.isEmpty()) {
+      return Result.success(new Report(reports, lines, Main.DONE));
+    }
+    return Replay.writeReport(reports, directory.get())
+        .map(
+            page -> {
+              lines.add("Plots: " + page);
+              return new Report(reports, lines, Main.DONE);
+            });
+  }
+
+  private static List<String> lines(Trace trace) {
+    return Replay.format(trace).lines().toList();
+  }
+
+  private static Report report(VerificationReport verification) {
+    List<String> lines = new ArrayList<>();
+    for (FailedSchedule failed : verification.failed()) {
+      lines.addAll(failed.trace());
+      lines.add(
+          "seed %d breaks %s at step %d: %s (replayed exactly: %s)"
+              .formatted(
+                  failed.seed(),
+                  failed.invariant(),
+                  failed.step(),
+                  failed.violation(),
+                  failed.replayedExactly()));
+    }
+    lines.add(
+        "%d of %d schedules from seed %d, %d steps, %d failed"
+            .formatted(
+                verification.done(),
+                verification.schedules(),
+                verification.firstSeed(),
+                verification.steps(),
+                verification.failed().size()));
+    return new Report(verification, lines, verification.exitStatus());
+  }
+}
--- a/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/ViewCommands.java
+++ b/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/ViewCommands.java
@@ -1,5 +1,6 @@
 package io.samphiregauge.ctl;
 
+import io.samphiregauge.core.log.FoldedState;
 import io.samphiregauge.core.log.FoldedState.WindowKey;
 import io.samphiregauge.core.log.LogReader.Read;
 import io.samphiregauge.core.result.Failure;
@@ -23,8 +24,6 @@
 
 /** Commands that only show something. */
 final class ViewCommands {
-  private static final long NO_OFFSET = -1;
-
   private ViewCommands() {}
 
   /** Lists the notes of the log, accepted or not. */
@@ -37,18 +36,14 @@
     return session.log().flatMap(LogClient::readAll).map(ViewCommands::usage);
   }
 
-  /**
-   * Shows the entries and the leases.
-   *
-   * @param addresses entries to ask, or those that have joined where the list is empty
-   */
-  static Result<Report> status(Session session, List<String> addresses) {
+  /** Shows the entries and the leases; without the log where the operator has named entries. */
+  static Result<Report> status(Session session) {
     Result<LogView> view = session.log().flatMap(LogClient::readAll);
-    if (addresses.isEmpty()) {
-      return view.map(v -> status(session, view, EntryClient.live(v.state())));
+    if (session.namesEntries()) {
+      FoldedState state = view.map(LogView::state).value().orElseGet(FoldedState::empty);
+      return Result.success(status(session, view, session.targets(state)));
     }
-    List<EntryClient.Target> targets = addresses.stream().map(EntryClient.Target::at).toList();
-    return Result.success(status(session, view, targets));
+    return view.map(v -> status(session, view, session.targets(v.state())));
   }
 
   private static Report status(
@@ -56,8 +51,8 @@
     List<EntryState> entries = session.entries().ask(targets);
     StatusReport message =
         new StatusReport(
-            view.value().map(v -> v.state().noteOffset()).orElse(NO_OFFSET),
-            view.value().map(LogView::nextOffset).orElse(NO_OFFSET),
+            view.value().map(v -> v.state().noteOffset()).orElse(FoldedState.NO_OFFSET),
+            view.value().map(LogView::nextOffset).orElse(FoldedState.NO_OFFSET),
             entries,
             view.value().map(v -> List.copyOf(v.state().leases().values())).orElse(List.of()),
             view.failure().map(Failure::message).orElse(null));
