--- a/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/Demo.java
+++ b/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/Demo.java
@@ -19,6 +19,10 @@
 /** The demo: the whole system in one process, a first note, and a request of each kind. */
 final class Demo {
   private static final String TICKET_HEADER = "Samphire-Ticket";
+
+  /** The service counts its runs by this header; the entry keeps the ticket to itself. */
+  private static final String IDEMPOTENCY_HEADER = "Idempotency-Key";
+
   private static final int NS_PER_MS = 1_000_000;
   private static final String PROMPT =
       "{\"model\":\"%s\",\"prompt\":\"When is the cloth presented?\",\"max_tokens\":5}"
@@ -103,7 +107,7 @@
       throws IOException, InterruptedException {
     HttpRequest.Builder request =
         request(path).POST(HttpRequest.BodyPublishers.ofString("{\"family\":\"Suda\"}"));
-    ticket.ifPresent(text -> request.header(TICKET_HEADER, text));
+    ticket.ifPresent(text -> request.headers(TICKET_HEADER, text, IDEMPOTENCY_HEADER, text));
     return client.send(request.build(), HttpResponse.BodyHandlers.ofString());
   }
 
--- /dev/null
+++ b/samphiregauge-ctl/src/test/java/io/samphiregauge/ctl/DemoTest.java
@@ -0,0 +1,23 @@
+package io.samphiregauge.ctl;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+/** Guards against a demo that does not run from end to end. */
+class DemoTest {
+  @Test
+  void appliesANoteStreamsAnAnswerAndBooksOnce() {
+    Ctl run = Ctl.run("demo");
+    assertThat(run.err()).isEmpty();
+    assertThat(run.status()).isZero();
+    assertThat(run.out())
+        .contains(
+            "It is in force on 3 of 3 entries.",
+            "data: {\"index\":4,\"text\":\"t4 \"}",
+            "data: [DONE]",
+            "ticket_required",
+            "runs of this ticket on the service: 1",
+            "note in force at offset");
+  }
+}
--- /dev/null
+++ b/samphiregauge-ctl/src/test/java/io/samphiregauge/ctl/MainTest.java
@@ -0,0 +1,72 @@
+package io.samphiregauge.ctl;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.samphiregauge.core.config.KeyDigest;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a command line that scripts cannot rely on. */
+class MainTest {
+  @Test
+  void printsVersionAndHelpOnStandardOutput() {
+    for (String flag : List.of("--version", "--help")) {
+      Ctl run = Ctl.run(flag);
+      assertThat(run.status()).isZero();
+      assertThat(run.out()).contains("samphirectl");
+      assertThat(run.err()).isEmpty();
+    }
+  }
+
+  @Test
+  void printsTheOptionsOfEachCommand() {
+    for (String command : Commands.all().keySet()) {
+      Ctl run = Ctl.run(command, "--help");
+      assertThat(run.status()).as(command).isZero();
+      assertThat(run.out()).as(command).contains("samphirectl " + command, "--json");
+    }
+  }
+
+  @Test
+  void exitsWithTwoAndAnErrorForAWrongCommandLine() {
+    List<String[]> lines =
+        List.of(
+            new String[] {},
+            new String[] {"fly"},
+            new String[] {"status", "--fast"},
+            new String[] {"apply"},
+            new String[] {"keys", "old"},
+            new String[] {"verify", "--schedules", "0"},
+            new String[] {"status"});
+    for (String[] line : lines) {
+      Ctl run = Ctl.run(line);
+      assertThat(run.status()).as(String.join(" ", line)).isEqualTo(2);
+      assertThat(run.out()).as(String.join(" ", line)).isEmpty();
+      assertThat(run.err()).as(String.join(" ", line)).isNotEmpty();
+    }
+  }
+
+  @Test
+  void exitsWithOneAndATypedErrorForAFailure() {
+    Ctl run = Ctl.run("check", "/nowhere/note.json", "--json");
+    assertThat(run.status()).isEqualTo(1);
+    assertThat(run.error().path("type").asText()).isEqualTo("bad_file");
+    assertThat(run.error().path("message").asText()).contains("/nowhere/note.json");
+  }
+
+  @Test
+  void makesADifferentKeyEachTimeWithItsDigest() {
+    Ctl first = Ctl.run("keys", "new", "--json");
+    Ctl second = Ctl.run("keys", "new", "--json");
+    String key = first.json().path("key").asText();
+    assertThat(key).isNotEqualTo(second.json().path("key").asText());
+    assertThat(first.json().path("keyDigest").asText()).isEqualTo(KeyDigest.of(key));
+  }
+
+  @Test
+  void runsFaultSchedules() {
+    Ctl run = Ctl.run("verify", "--schedules", "2", "--seed", "7", "--json");
+    assertThat(run.status()).isZero();
+    assertThat(run.json().path("done").asInt()).isEqualTo(2);
+  }
+}
--- /dev/null
+++ b/samphiregauge-ctl/src/test/java/io/samphiregauge/ctl/NoteCommandsTest.java
@@ -0,0 +1,181 @@
+package io.samphiregauge.ctl;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.samphiregauge.core.config.KeyDigest;
+import io.samphiregauge.core.config.NoteFailure;
+import io.samphiregauge.core.result.Failure;
+import io.samphiregauge.core.result.Result;
+import io.samphiregauge.net.Address;
+import io.samphiregauge.net.Codec;
+import io.samphiregauge.schema.config.Team;
+import io.samphiregauge.schema.record.Incarnation;
+import io.samphiregauge.schema.record.Note;
+import io.samphiregauge.schema.standin.LogFaults;
+import io.samphiregauge.standins.AppendFault;
+import io.samphiregauge.standins.LogStandin;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Guards against notes that are applied twice, not at all, or over another operator's note. */
+class NoteCommandsTest {
+  private static final Path FIRST = Path.of("src/test/resources/notes/first.json");
+  private static final AppendFault.Effect LOST = new AppendFault.Effect(1, false, 0);
+  private static final AppendFault.Effect REFUSED = new AppendFault.Effect(0, true, 0);
+  private static final Address ANY = new Address("127.0.0.1", 0);
+
+  private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
+  private final LogStandin log = LogStandin.start(loops, ANY);
+  @TempDir private Path folder;
+
+  @AfterEach
+  void stop() {
+    log.close();
+    loops.shutdownGracefully();
+  }
+
+  @Test
+  void appliesAFileWhoseOtherSectionsAreAbsent() {
+    Ctl run = ctl("apply", FIRST.toString(), "--json");
+    assertThat(run.err()).isEmpty();
+    assertThat(run.json().path("offset").asLong()).isZero();
+    assertThat(run.json().path("author").asText()).isEqualTo("somchai");
+    assertThat(ctl("history").out()).contains("added team t1; added model m1; added backend e1");
+  }
+
+  @Test
+  void appliesANoteOnceThoughTheAnswerOfTheLogIsLost() {
+    log.set(faults("{\"loseAnswers\":1}"));
+    assertThat(ctl("apply", FIRST.toString()).status()).isZero();
+    assertThat(log.records()).hasSize(1);
+  }
+
+  @Test
+  void acceptsANoteThatTheLogHasStoredTwice() {
+    log.set(faults("{\"duplicateAppends\":1}"));
+    Ctl run = ctl("apply", FIRST.toString(), "--json");
+    assertThat(run.json().path("offset").asLong()).isZero();
+    assertThat(log.records()).hasSize(2);
+  }
+
+  @Test
+  void namesTheWinningOffsetToTheOperatorWhoLosesTheRace() {
+    try (Session session = session()) {
+      LogClient client = session.log().value().orElseThrow();
+      LogView before = client.readAll().value().orElseThrow();
+      assertThat(ctl("apply", FIRST.toString()).status()).isZero();
+      Note late = NoteFiles.toNote(NoteFiles.read(FIRST).value().orElseThrow(), "late", -1);
+      Result<NoteAppender.Accepted> lost =
+          new NoteAppender(client, new Incarnation("late", 1L, 1L), ms -> {}).apply(before, late);
+      assertThat(lost.failure()).contains(new NoteFailure.Conflict(-1, 0));
+    }
+  }
+
+  @Test
+  void refusesANoteThatBuildsOnAnOldOffset() throws Exception {
+    ctl("apply", FIRST.toString());
+    Path old = file("{\"buildsOnOffset\": -1}");
+    for (String command : List.of("apply", "check")) {
+      Ctl run = ctl(command, old.toString(), "--json");
+      assertThat(run.status()).isEqualTo(1);
+      assertThat(run.error().path("type").asText()).isEqualTo("note_conflict");
+      assertThat(run.error().path("message").asText()).contains("offset 0");
+    }
+  }
+
+  @Test
+  void sendsNoNoteThatDoesNotFit() throws Exception {
+    Path withdrawal = file("{\"withdrawn\": {\"teams\": [\"nobody\"]}}");
+    Ctl run = ctl("apply", withdrawal.toString());
+    assertThat(run.status()).isEqualTo(1);
+    assertThat(run.err()).contains("unknown_reference", "nobody");
+    assertThat(log.records()).isEmpty();
+  }
+
+  @Test
+  void namesTheFieldOfABadFile() throws Exception {
+    Path bad = file("{\"added\": {\"teamz\": []}}");
+    assertThat(ctl("check", bad.toString()).err()).contains(bad.toString(), "$.added.teamz");
+  }
+
+  @Test
+  void failsWhileTheLogIsDown() {
+    log.set(faults("{\"down\":true}"));
+    Ctl run = ctl("apply", FIRST.toString(), "--json");
+    assertThat(run.status()).isEqualTo(1);
+    assertThat(run.error().path("type").asText()).isEqualTo("refused");
+  }
+
+  /** A note may still arrive while its answer is missing, so the operator must not send another. */
+  @Test
+  void saysThatTheOutcomeIsUnknownWhereNeitherAnswerNorRecordIsSeen() {
+    try (Session session = session()) {
+      LogClient client = session.log().value().orElseThrow();
+      LogView before = client.readAll().value().orElseThrow();
+      log.onAppend(
+          record -> {
+            loops.next().execute(() -> log.onAppend(again -> REFUSED));
+            return LOST;
+          });
+      log.set(faults("{\"retainRecords\":0}"));
+      Note note = NoteFiles.toNote(NoteFiles.read(FIRST).value().orElseThrow(), "a", -1);
+      Result<NoteAppender.Accepted> result =
+          new NoteAppender(client, new Incarnation("a", 1L, 1L), ms -> {}).apply(before, note);
+      assertThat(result.failure().map(Failure::type)).contains("outcome_unknown");
+    }
+  }
+
+  @Test
+  void putsOnlyTheDigestOfANewKeyIntoTheLog() {
+    ctl("apply", FIRST.toString());
+    Ctl run = ctl("keys", "new", "--team", "t1", "--json");
+    String key = run.json().path("key").asText();
+    assertThat(run.json().path("offset").asLong()).isEqualTo(1);
+    try (Session session = session()) {
+      LogView view = session.log().flatMap(LogClient::readAll).value().orElseThrow();
+      assertThat(view.state().config().teamOfKey(KeyDigest.of(key)).map(Team::getName))
+          .contains("t1");
+    }
+    assertThat(new String(Codec.json().encode(log.records()), StandardCharsets.UTF_8))
+        .doesNotContain(key);
+  }
+
+  @Test
+  void withdrawsABackendServerToDrainIt() {
+    ctl("apply", FIRST.toString());
+    assertThat(ctl("drain", "e2").err()).contains("unknown_reference", "e2");
+    assertThat(ctl("drain", "e1").status()).isZero();
+    try (Session session = session()) {
+      LogView view = session.log().flatMap(LogClient::readAll).value().orElseThrow();
+      assertThat(view.state().config().backend("e1")).isEmpty();
+    }
+  }
+
+  private Ctl ctl(String... args) {
+    return Ctl.run(Map.of(CommonOptions.LOG_VARIABLE, "http://" + log.address()), args);
+  }
+
+  private Session session() {
+    return new Session(Optional.of("http://" + log.address()), List.of(), line -> {});
+  }
+
+  private Path file(String content) throws IOException {
+    return Files.writeString(folder.resolve("note.json"), content);
+  }
+
+  private static LogFaults faults(String json) {
+    return Codec.json()
+        .decode(json.getBytes(StandardCharsets.UTF_8), LogFaults.class)
+        .value()
+        .orElseThrow();
+  }
+}
--- /dev/null
+++ b/samphiregauge-ctl/src/test/java/io/samphiregauge/ctl/ViewCommandsTest.java
@@ -0,0 +1,97 @@
+package io.samphiregauge.ctl;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.samphiregauge.net.Address;
+import io.samphiregauge.net.Codec;
+import io.samphiregauge.net.HttpCaller;
+import io.samphiregauge.schema.RecordBody;
+import io.samphiregauge.schema.record.Incarnation;
+import io.samphiregauge.schema.record.Joined;
+import io.samphiregauge.schema.record.LeaseClaim;
+import io.samphiregauge.schema.record.LogRecord;
+import io.samphiregauge.schema.record.UsageFigure;
+import io.samphiregauge.schema.record.UsageReportIntent;
+import io.samphiregauge.schema.record.UsageReported;
+import io.samphiregauge.schema.record.UsageSealed;
+import io.samphiregauge.standins.LogStandin;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against operators who are shown something that is not so. */
+class ViewCommandsTest {
+  private static final Incarnation VM = new Incarnation("vm1", 1L, 1L);
+  private static final String NO_ENTRY = "127.0.0.1:1";
+
+  private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
+  private final LogStandin log = LogStandin.start(loops, new Address("127.0.0.1", 0));
+  private long lastSequence;
+
+  /** Seals two windows, of which only the first is reported, and tries to seal the first again. */
+  @BeforeEach
+  void appendRecords() {
+    append(new Joined("luzon", "luzon-a", NO_ENTRY, NO_ENTRY));
+    append(new LeaseClaim("usage/luzon", -1L, 10_000L));
+    append(sealed(7, 100));
+    append(new UsageReportIntent("luzon", 7L, 1L));
+    append(new UsageReported("luzon", 7L, 1L));
+    append(sealed(8, 200));
+    append(sealed(7, 999));
+  }
+
+  @AfterEach
+  void stop() {
+    log.close();
+    loops.shutdownGracefully();
+  }
+
+  @Test
+  void listsOnlyUsageThatTheFoldHasAccepted() {
+    JsonNode lines = ctl("usage", "--json").json().path("lines");
+    assertThat(lines).hasSize(2);
+    assertThat(lines.get(0).path("reported").asBoolean()).isTrue();
+    assertThat(lines.get(0).path("figure").path("requests").asLong()).isEqualTo(100);
+    assertThat(lines.get(1).path("reported").asBoolean()).isFalse();
+    assertThat(ctl("usage").out()).contains("luzon", "t1", "200").doesNotContain("999");
+  }
+
+  @Test
+  void showsAnEntryThatDoesNotAnswerWithItsProblem() {
+    Ctl run = ctl("status");
+    assertThat(run.status()).isZero();
+    assertThat(run.out()).contains("vm1", "luzon-a", "no connection", "usage/luzon");
+  }
+
+  @Test
+  void showsNamedEntriesWithoutTheLog() {
+    log.close();
+    Ctl run = ctl("status", "--entry", NO_ENTRY, "--json");
+    assertThat(run.status()).isZero();
+    assertThat(run.json().path("problem").asText()).contains("no connection");
+    assertThat(run.json().path("entries").get(0).path("problem").asText()).contains(NO_ENTRY);
+  }
+
+  private UsageSealed sealed(long window, long requests) {
+    UsageFigure figure = new UsageFigure("t1", "m1", requests, 10L, 20L, 30L);
+    return new UsageSealed("luzon", window, 1L, List.of(figure), List.of());
+  }
+
+  private void append(RecordBody body) {
+    lastSequence++;
+    byte[] json = Codec.json().encode(new LogRecord(VM, lastSequence, body));
+    var answer =
+        new HttpCaller(loops)
+            .post(log.address(), "/v1/streams/control/records", json, 10_000)
+            .join();
+    assertThat(answer.failure()).isEmpty();
+  }
+
+  private Ctl ctl(String... args) {
+    return Ctl.run(Map.of(CommonOptions.LOG_VARIABLE, "http://" + log.address()), args);
+  }
+}
