Wait for entries out of reach before a suspect runs alone

Entries that have not ended in the log now count for the confirmations; a caller still waits for at most 200 ms.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/Isolation.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/Isolation.java
@@ -11,8 +11,9 @@
 import java.util.TreeMap;
 
 /**
- * Reserves engines for suspects. A suspect starts once this entry and all live ones have closed the
- * engine for new requests and have no unproven request on it.
+ * Reserves engines for suspects. A suspect starts once this entry and all others that have not
+ * ended have closed the engine for new requests and have no unproven request on it. An entry that
+ * gossip calls dead must consent too: behind a partition it may still use the engine.
  */
 final class Isolation {
   private Isolation() {}
@@ -35,7 +36,7 @@
     SuspicionState reserved = state.withOwn(own);
     actions.add(new SuspicionAction.CheckEngines(state.self, number, List.of(engine.get())));
     SuspicionNotice notice = Notices.notice(reserved, "", List.of(), List.of(), List.of());
-    return Notices.send(reserved, state.live, notice, List.of(), true, nowMs, actions);
+    return Notices.send(reserved, state.awaited(), notice, List.of(), true, nowMs, actions);
   }
 
   /** Takes the answer of this entry's event loops, for an own reservation or for another's. */
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/Notices.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/Notices.java
@@ -64,7 +64,7 @@
   }
 
   static SuspicionState dropMissing(SuspicionState state, List<SuspicionAction> actions) {
-    return settle(edit(state, entry -> entry.onlyAmong(state.live)), actions);
+    return settle(edit(state, entry -> entry.onlyAmong(state.awaited())), actions);
   }
 
   static SuspicionState resend(SuspicionState state, long nowMs, List<SuspicionAction> actions) {
@@ -90,7 +90,7 @@
             return entry;
           }
           answer(entry, false, actions);
-          return entry.answered();
+          return entry.reserved() ? entry : entry.answered().onlyAmong(state.live);
         });
   }
 
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/Suspicion.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/Suspicion.java
@@ -48,7 +48,7 @@
       return Notices.acknowledge(state, received.from(), received.ack(), actions);
     }
     if (event instanceof SuspicionEvent.LiveMembers members) {
-      return meet(state, members.others(), nowMs, actions);
+      return meet(state, members, nowMs, actions);
     }
     if (event instanceof SuspicionEvent.IsolationWanted wanted) {
       return Isolation.want(state, wanted.fingerprint(), wanted.engines(), nowMs, actions);
@@ -87,7 +87,8 @@
             select(next, crashed.fingerprints(), Standing.SUSPECT),
             List.of(),
             select(next, crashed.fingerprints(), Standing.CONDEMNED));
-    return Notices.send(next, next.live, notice, crashed.fingerprints(), false, nowMs, actions);
+    return Notices.send(
+        next, next.awaited(), notice, crashed.fingerprints(), false, nowMs, actions);
   }
 
   private static SuspicionState learn(
@@ -96,12 +97,8 @@
       SuspicionNotice notice,
       long nowMs,
       List<SuspicionAction> actions) {
-    Set<Incarnation> heard = new HashSet<>(state.heard);
-    heard.add(from);
     SuspicionState next =
-        state
-            .withMembers(state.live, heard)
-            .withSuspects(state.suspects.learn(notice, from, nowMs));
+        state.withHeard(from).withSuspects(state.suspects.learn(notice, from, nowMs));
     SuspicionState closed = Isolation.close(next, from, notice, nowMs, actions);
     List<String> reserved = notice.getReservedEngines().orElse(List.of());
     if (reserved.isEmpty()) {
@@ -114,19 +111,22 @@
 
   /** Tells new members all suspicions, and no longer waits for members that are gone. */
   private static SuspicionState meet(
-      SuspicionState state, Set<Incarnation> others, long nowMs, List<SuspicionAction> actions) {
-    if (others.equals(state.live) && state.synced) {
+      SuspicionState state,
+      SuspicionEvent.LiveMembers members,
+      long nowMs,
+      List<SuspicionAction> actions) {
+    Set<Incarnation> others = members.others();
+    boolean same = others.equals(state.live) && members.doubtful().equals(state.doubtful);
+    if (same && state.synced) {
       return state;
     }
     Set<Incarnation> joined = new HashSet<>(others);
     joined.removeAll(state.live);
-    Set<Incarnation> heard = new HashSet<>(state.heard);
-    heard.retainAll(others);
     Map<Incarnation, ClosedEngines> closed = new HashMap<>(state.closed);
     closed.keySet().retainAll(others);
     SuspicionState next =
         Notices.dropMissing(
-            state.withMembers(Set.copyOf(others), heard).withClosed(closed), actions);
+            state.withMembers(others, members.doubtful()).withClosed(closed), actions);
     if (joined.isEmpty()) {
       return next;
     }
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/SuspicionEvent.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/SuspicionEvent.java
@@ -17,8 +17,20 @@
   /** Another entry confirmed a notice. */
   record AckReceived(Incarnation from, SuspicionAck ack) implements SuspicionEvent {}
 
-  /** The membership view has changed. */
-  record LiveMembers(Set<Incarnation> others) implements SuspicionEvent {}
+  /**
+   * The membership view has changed.
+   *
+   * @param others entries that serve
+   * @param doubtful entries that gossip calls dead but that have not ended in the log; their
+   *     confirmations count too, since they may serve on the other side of a partition
+   */
+  record LiveMembers(Set<Incarnation> others, Set<Incarnation> doubtful) implements SuspicionEvent {
+    /** Copies the sets. */
+    public LiveMembers {
+      others = Set.copyOf(others);
+      doubtful = Set.copyOf(doubtful);
+    }
+  }
 
   /** A suspect wants to run on one of these engines, the best one first. */
   record IsolationWanted(String fingerprint, List<String> engines) implements SuspicionEvent {}
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/SuspicionState.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/SuspicionState.java
@@ -12,6 +12,7 @@
 public final class SuspicionState {
   final Incarnation self;
   final Set<Incarnation> live;
+  final Set<Incarnation> doubtful;
   final Set<Incarnation> heard;
   final boolean synced;
   final long lastNumber;
@@ -23,6 +24,7 @@
   SuspicionState(
       Incarnation self,
       Set<Incarnation> live,
+      Set<Incarnation> doubtful,
       Set<Incarnation> heard,
       boolean synced,
       long lastNumber,
@@ -32,6 +34,7 @@
       Map<Incarnation, ClosedEngines> closed) {
     this.self = self;
     this.live = live;
+    this.doubtful = doubtful;
     this.heard = heard;
     this.synced = synced;
     this.lastNumber = lastNumber;
@@ -50,7 +53,16 @@
   public static SuspicionState initial(Incarnation self) {
     Objects.requireNonNull(self, "self");
     return new SuspicionState(
-        self, Set.of(), Set.of(), false, 0, SuspectTable.EMPTY, Map.of(), Map.of(), Map.of());
+        self,
+        Set.of(),
+        Set.of(),
+        Set.of(),
+        false,
+        0,
+        SuspectTable.EMPTY,
+        Map.of(),
+        Map.of(),
+        Map.of());
   }
 
   /**
@@ -96,26 +108,49 @@
     return own.keySet().stream().sorted().toList();
   }
 
-  SuspicionState withMembers(Set<Incarnation> nextLive, Set<Incarnation> nextHeard) {
-    boolean complete = synced || nextHeard.containsAll(nextLive);
+  SuspicionState withMembers(Set<Incarnation> nextLive, Set<Incarnation> nextDoubtful) {
+    Set<Incarnation> known = new HashSet<>(heard);
+    known.retainAll(nextLive);
+    boolean complete = synced || known.containsAll(nextLive);
     return new SuspicionState(
-        self, nextLive, nextHeard, complete, lastNumber, suspects, pending, own, closed);
+        self, nextLive, nextDoubtful, known, complete, lastNumber, suspects, pending, own, closed);
+  }
+
+  SuspicionState withHeard(Incarnation member) {
+    if (synced) {
+      return this;
+    }
+    Set<Incarnation> known = new HashSet<>(heard);
+    known.add(member);
+    boolean complete = !live.isEmpty() && known.containsAll(live);
+    return new SuspicionState(
+        self, live, doubtful, known, complete, lastNumber, suspects, pending, own, closed);
+  }
+
+  /** Returns the entries that callers wait for. */
+  Set<Incarnation> awaited() {
+    Set<Incarnation> all = new HashSet<>(live);
+    all.addAll(doubtful);
+    return all;
   }
 
   SuspicionState withSuspects(SuspectTable next) {
-    return new SuspicionState(self, live, heard, synced, lastNumber, next, pending, own, closed);
+    return new SuspicionState(
+        self, live, doubtful, heard, synced, lastNumber, next, pending, own, closed);
   }
 
   SuspicionState withPending(long number, Map<Long, PendingNotice> next) {
-    return new SuspicionState(self, live, heard, synced, number, suspects, next, own, closed);
+    return new SuspicionState(
+        self, live, doubtful, heard, synced, number, suspects, next, own, closed);
   }
 
   SuspicionState withOwn(Map<String, Reservation> next) {
     return new SuspicionState(
-        self, live, heard, synced, lastNumber, suspects, pending, next, closed);
+        self, live, doubtful, heard, synced, lastNumber, suspects, pending, next, closed);
   }
 
   SuspicionState withClosed(Map<Incarnation, ClosedEngines> next) {
-    return new SuspicionState(self, live, heard, synced, lastNumber, suspects, pending, own, next);
+    return new SuspicionState(
+        self, live, doubtful, heard, synced, lastNumber, suspects, pending, own, next);
   }
 }
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/suspect/SuspicionTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/suspect/SuspicionTest.java
@@ -42,7 +42,7 @@
     for (Incarnation member : ALL) {
       Set<Incarnation> others = new HashSet<>(ALL);
       others.remove(member);
-      happen(member, new SuspicionEvent.LiveMembers(others));
+      happen(member, new SuspicionEvent.LiveMembers(others, Set.of()));
     }
     seen.clear();
   }
@@ -70,6 +70,21 @@
     assertThat(view(C).standing("f")).isEqualTo(Standing.SUSPECT);
   }
 
+  /** Guards against a caller that crosses a partition with a request that crashes engines. */
+  @Test
+  void callersWaitForEntriesThatMayServeElsewhere() {
+    happen(A, new SuspicionEvent.LiveMembers(Set.of(B), Set.of(C)));
+    cutOff.add(C);
+    happen(A, new SuspicionEvent.Crashed("e1", List.of("f")));
+    assertThat(seen).doesNotHaveAnyElementsOfTypes(CallersMayBeAnswered.class);
+    tick(A, 200);
+    assertThat(seen).contains(new CallersMayBeAnswered("e1", List.of("f"), false));
+    happen(A, new SuspicionEvent.IsolationWanted("f", List.of("e2")));
+    assertThat(seen).doesNotHaveAnyElementsOfTypes(IsolationGranted.class);
+    happen(A, new SuspicionEvent.LiveMembers(Set.of(B), Set.of()));
+    assertThat(seen).contains(new IsolationGranted("f", "e2"));
+  }
+
   /** Guards against a third crash by one request, and against refusing its neighbours. */
   @Test
   void aSuspectThatCrashesItsReservedEngineIsCondemnedEverywhere() {
@@ -150,10 +165,10 @@
     happen(A, new SuspicionEvent.Crashed("e1", List.of("f")));
     Incarnation next = new Incarnation("c", 2, 2);
     states.put("c", SuspicionState.initial(next));
-    happen(next, new SuspicionEvent.LiveMembers(Set.of(A, B)));
+    happen(next, new SuspicionEvent.LiveMembers(Set.of(A, B), Set.of()));
     assertThat(view(next).synced()).isFalse();
-    happen(A, new SuspicionEvent.LiveMembers(Set.of(B, next)));
-    happen(B, new SuspicionEvent.LiveMembers(Set.of(A, next)));
+    happen(A, new SuspicionEvent.LiveMembers(Set.of(B, next), Set.of()));
+    happen(B, new SuspicionEvent.LiveMembers(Set.of(A, next), Set.of()));
     assertThat(view(next).synced()).isTrue();
     assertThat(view(next).standing("f")).isEqualTo(Standing.SUSPECT);
   }
--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Deployment.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Deployment.java
@@ -8,10 +8,8 @@
 import io.samphiregauge.schema.record.LogRecord;
 import io.samphiregauge.schema.record.Note;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 
 /** Five entries in three failure domains, their engines, services, log and network. */
 final class Deployment {
@@ -78,15 +76,8 @@
     return engines.stream().filter(engine -> engine.name.equals(name)).findFirst();
   }
 
-  /** Returns the processes of other VMs that exist. */
-  Set<Incarnation> others(Vm self) {
-    Set<Incarnation> others = new HashSet<>();
-    for (Vm vm : vms) {
-      if (vm != self) {
-        vm.node().ifPresent(node -> others.add(node.self));
-      }
-    }
-    return others;
+  Optional<Vm> vmAtPeerAddress(String address) {
+    return vms.stream().filter(vm -> vm.peerAddress().equals(address)).findFirst();
   }
 
   /** Shows the invariants which processes hold a role now, where more than one might. */
--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Node.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Node.java
@@ -29,6 +29,7 @@
 
   final Incarnation self;
   final Vm vm;
+  final NodeMembers members;
   final NodeTraffic traffic;
   private final Deployment deployment;
   private final Seams seams;
@@ -50,13 +51,14 @@
     for (String role : Deployment.ROLES) {
       agents.put(role, LeaseAgent.of(role, self));
     }
+    this.members = new NodeMembers(this, deployment);
     this.traffic = new NodeTraffic(this, deployment);
   }
 
   void start() {
     deployment.world.trace(() -> vm.name + " starts as #" + self.getStartMs());
-    String address = vm.name + ":80";
-    writer = writer.write(new Joined(Deployment.REGION, vm.domain, address, vm.name + ":90"));
+    writer =
+        writer.write(new Joined(Deployment.REGION, vm.domain, vm.httpAddress(), vm.peerAddress()));
     tick();
   }
 
@@ -101,6 +103,7 @@
     agents.replaceAll((role, agent) -> runAgent(agent, new LeaseEvent.Tick()));
     runWriter(new LogWriter.Event.Tick());
     writeCheckpoint();
+    members.tick();
     traffic.tick();
     long nextMs = deployment.world.random.between(100, 300);
     deployment.world.in(nextMs, () -> vm.inProcess(this, this::tick));
--- /dev/null
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/NodeMembers.java
@@ -0,0 +1,85 @@
+package io.samphiregauge.verify;
+
+import io.samphiregauge.core.Step;
+import io.samphiregauge.core.member.Known;
+import io.samphiregauge.core.member.MemberAction;
+import io.samphiregauge.core.member.MemberEvent;
+import io.samphiregauge.core.member.Membership;
+import io.samphiregauge.core.suspect.SuspicionEvent;
+import io.samphiregauge.schema.PeerMessage;
+import io.samphiregauge.schema.peer.Member;
+import io.samphiregauge.schema.peer.MemberState;
+import io.samphiregauge.schema.record.Incarnation;
+import io.samphiregauge.schema.record.ProcessState;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+
+/** The membership view of one process. */
+final class NodeMembers {
+  private final Node node;
+  private final Deployment deployment;
+  private Membership membership;
+
+  NodeMembers(Node node, Deployment deployment) {
+    this.node = node;
+    this.deployment = deployment;
+    Member self =
+        new Member(
+            node.self,
+            Deployment.REGION,
+            node.vm.domain,
+            node.vm.httpAddress(),
+            node.vm.peerAddress(),
+            MemberState.ALIVE,
+            0,
+            -1,
+            -1);
+    this.membership =
+        Membership.of(self, deployment.vms.stream().map(Vm::peerAddress).toList(), node.nowMs());
+  }
+
+  Membership view() {
+    return membership;
+  }
+
+  void tick() {
+    OptionalLong contactMs = node.freshness().ownContactMs();
+    apply(new MemberEvent.Progress(node.state().upToOffset(), contactMs));
+    apply(new MemberEvent.Tick());
+  }
+
+  /** Returns the other processes that serve, and those that may serve out of reach. */
+  SuspicionEvent.LiveMembers live() {
+    Set<Incarnation> live = new HashSet<>();
+    Set<Incarnation> doubtful = new HashSet<>();
+    for (ProcessState process : node.state().processes().values()) {
+      live.add(process.getIncarnation());
+    }
+    for (Known known : membership.live()) {
+      live.add(known.member().getIncarnation());
+    }
+    live.removeIf(other -> other.equals(node.self) || node.state().hasEnded(other));
+    live.stream().filter(membership::isConfirmedDead).forEach(doubtful::add);
+    live.removeAll(doubtful);
+    return new SuspicionEvent.LiveMembers(live, doubtful);
+  }
+
+  private void receive(PeerMessage message) {
+    apply(new MemberEvent.Received(message));
+  }
+
+  private void apply(MemberEvent event) {
+    Step<Membership, MemberAction> step =
+        membership.on(event, node.nowMs(), deployment.world.random);
+    membership = step.state();
+    for (MemberAction action : step.actions()) {
+      if (action instanceof MemberAction.Send send) {
+        Optional<Vm> target = deployment.vmAtPeerAddress(send.peerAddress());
+        target.ifPresent(
+            vm -> deployment.net.send(node.vm, vm, there -> there.members.receive(send.message())));
+      }
+    }
+  }
+}
--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/NodeSuspicion.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/NodeSuspicion.java
@@ -60,7 +60,9 @@
   }
 
   void tick() {
-    apply(new SuspicionEvent.LiveMembers(deployment.others(node.vm)));
+    if (node.state().isLive(node.self)) {
+      apply(node.members.live());
+    }
     apply(new SuspicionEvent.Tick());
   }
 
--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Vm.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Vm.java
@@ -36,6 +36,14 @@
     return origin + (long) (deployment.world.nowMs() * rate);
   }
 
+  String httpAddress() {
+    return name + ":80";
+  }
+
+  String peerAddress() {
+    return name + ":90";
+  }
+
   Optional<Node> node() {
     return node;
   }
