--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Faults.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Faults.java
@@ -25,6 +25,8 @@
           new Kind("log_lost_answers", Faults::lostAnswers),
           new Kind("log_late_appends", Faults::lateAppends),
           new Kind("log_out_of_reach", Faults::logOutOfReach),
+          new Kind("log_flaps", deployment -> logFlaps(deployment, false)),
+          new Kind("log_one_way", deployment -> logFlaps(deployment, true)),
           new Kind("partition", Faults::partition),
           new Kind("loss", Faults::loss),
           new Kind("slow_and_twice", Faults::slowAndTwice),
@@ -51,8 +53,17 @@
     }
   }
 
+  /** Every other fault is aimed at a holder of authority, since others are seldom in its way. */
   private static Vm anyVm(Deployment deployment) {
-    return deployment.world.random.pick(deployment.vms);
+    Seeded random = deployment.world.random;
+    String role = random.pick(Deployment.ROLES);
+    List<Vm> holders =
+        deployment.vms.stream()
+            .filter(vm -> vm.running().filter(n -> n.token(role).isPresent()).isPresent())
+            .toList();
+    return random.chance(0.5) && !holders.isEmpty()
+        ? random.pick(holders)
+        : random.pick(deployment.vms);
   }
 
   private static long lastsMs(Deployment deployment) {
@@ -85,6 +96,20 @@
     deployment.world.in(lastsMs(deployment), () -> vm.setLogReachable(true));
   }
 
+  /** The log comes back for a moment, in which a process reads but may not be able to write. */
+  private static void logFlaps(Deployment deployment, boolean appendsPass) {
+    Vm vm = anyVm(deployment);
+    long firstMs = deployment.world.random.between(2_000, 7_000);
+    long momentMs = deployment.world.random.between(20, 300);
+    vm.setLogReachable(false);
+    if (appendsPass) {
+      vm.loseAnswersOfLog();
+    }
+    deployment.world.in(firstMs, () -> vm.setLogReachable(true));
+    deployment.world.in(firstMs + momentMs, () -> vm.setLogReachable(false));
+    deployment.world.in(firstMs + momentMs + lastsMs(deployment), () -> vm.setLogReachable(true));
+  }
+
   private static void partition(Deployment deployment) {
     Set<String> minority = new HashSet<>();
     minority.add(anyVm(deployment).name);
--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/LogInvariants.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/LogInvariants.java
@@ -30,7 +30,8 @@
 
   private static Optional<String> oneHolder(Observation seen) {
     return seen instanceof Held held && held.holders().size() > 1
-        ? Optional.of(held.role() + " is held by " + held.holders())
+        ? Optional.of(
+            held.role() + " is held by " + held.holders().stream().map(Observation::name).toList())
         : Optional.empty();
   }
 
@@ -42,13 +43,23 @@
       }
       return Optional.ofNullable(last.put(now.by(), now))
           .filter(b -> b.offset() > now.offset() || b.noteOffset() > now.noteOffset())
-          .map(before -> "%s went back to %s".formatted(before, now));
+          .map(
+              before ->
+                  "%s went back from offset %d, note %d to offset %d, note %d"
+                      .formatted(
+                          Observation.name(now.by()),
+                          before.offset(),
+                          before.noteOffset(),
+                          now.offset(),
+                          now.noteOffset()));
     };
   }
 
   private static Optional<String> inForce(Observation seen) {
     return seen instanceof NoteDue due && due.heldNoteOffset() < due.noteOffset()
-        ? Optional.of("%s is not in force".formatted(due))
+        ? Optional.of(
+            "%s holds the note at %d; the one at %d is not in force"
+                .formatted(Observation.name(due.at()), due.heldNoteOffset(), due.noteOffset()))
         : Optional.empty();
   }
 
@@ -66,8 +77,12 @@
       long boundMs = connected ? REFUSED_CONNECTED_MS : REFUSED_MS;
       return accepted.atMs() - sinceMs > boundMs
           ? Optional.of(
-              "%s, withdrawn at %d ms, more than %d ms before"
-                  .formatted(accepted, sinceMs, boundMs))
+              "%s accepted %s %d ms after it was withdrawn; the bound is %d ms"
+                  .formatted(
+                      Observation.name(accepted.by()),
+                      accepted.key(),
+                      accepted.atMs() - sinceMs,
+                      boundMs))
           : Optional.empty();
     };
   }
--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Node.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Node.java
@@ -203,7 +203,7 @@
   }
 
   private void append(LogWriter.Append append) {
-    if (!vm.reachesLog()) {
+    if (!vm.writesLog()) {
       return;
     }
     deployment.log.append(
@@ -211,11 +211,14 @@
         stored ->
             vm.inProcess(
                 this,
-                () ->
+                () -> {
+                  if (vm.reachesLog()) {
                     runWriter(
                         stored
                             ? new LogWriter.Event.Answered(append.call())
-                            : new LogWriter.Event.Failed(append.call()))));
+                            : new LogWriter.Event.Failed(append.call()));
+                  }
+                }));
   }
 
   private void writeCheckpoint() {
--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/NodeTickets.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/NodeTickets.java
@@ -93,11 +93,13 @@
 
   private void use(ServiceCall call, Ticket ticket) {
     TicketRequest request = new TicketRequest(Deployment.TEAM, call.request());
-    TicketDecision decision = book.use(ticket, request, call, node.nowMs(), () -> obstacle(call));
+    TicketDecision decision =
+        deployment.seams.use.decide(
+            book, ticket, request, call, node.nowMs(), () -> obstacle(call));
     if (decision instanceof TicketDecision.Reply reply) {
       answer(call, reply.reply());
-    } else if (decision instanceof TicketDecision.Run) {
-      connect(call.request(), ticket, new ArrayList<>(deployment.services));
+    } else if (decision instanceof TicketDecision.Run run) {
+      connect(call.request(), run.ticket(), new ArrayList<>(deployment.services));
     }
   }
 
--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Observation.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Observation.java
@@ -7,6 +7,11 @@
 
 /** Something that an invariant judges: what the outside, or a process itself, could see. */
 sealed interface Observation {
+  /** Names a process; unlike its text, the name is the same in each run of a seed. */
+  static String name(Incarnation process) {
+    return process.getVm() + "#" + process.getStartMs();
+  }
+
   /** The roles that processes hold at this moment, each by its own clock. */
   record Held(String role, List<Incarnation> holders) implements Observation {}
 
--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Seams.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Seams.java
@@ -5,17 +5,22 @@
 import io.samphiregauge.core.log.FoldedState;
 import io.samphiregauge.core.log.Freshness;
 import io.samphiregauge.core.log.LogReader;
+import io.samphiregauge.core.result.Failure;
 import io.samphiregauge.core.result.Result;
 import io.samphiregauge.core.suspect.SuspicionView;
 import io.samphiregauge.core.ticket.Ticket;
 import io.samphiregauge.core.ticket.TicketBook;
+import io.samphiregauge.core.ticket.TicketDecision;
 import io.samphiregauge.core.ticket.TicketPlace;
 import io.samphiregauge.core.ticket.TicketReply;
+import io.samphiregauge.core.ticket.TicketRequest;
 import io.samphiregauge.core.ticket.TicketRouting;
 import io.samphiregauge.schema.platform.RecordsPage;
 import io.samphiregauge.schema.record.Checkpoint;
 import io.samphiregauge.schema.record.Incarnation;
+import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Supplier;
 
 /**
  * The calls from the fakes into the state machines. A new instance makes them as they are; a test
@@ -28,6 +33,7 @@
   SentTime sentTime = (firstSentMs, nowMs) -> firstSentMs;
   FreshCheck freshCheck = Freshness::isFresh;
   Place place = TicketRouting::place;
+  Use use = TicketBook::use;
   Dispatch dispatch = (book, ticket) -> book.dispatch(ticket).value().isPresent();
   Retry retry = TicketBook::mayRetry;
   Reply reply = decided -> decided;
@@ -70,6 +76,18 @@
     TicketPlace of(Ticket ticket, Incarnation self, FoldedState state, boolean forwarded);
   }
 
+  /** Decides on a request with a ticket of this process. */
+  @FunctionalInterface
+  interface Use {
+    TicketDecision decide(
+        TicketBook<Object> book,
+        Ticket ticket,
+        TicketRequest request,
+        Object waiter,
+        long nowMs,
+        Supplier<Optional<? extends Failure>> admission);
+  }
+
   /** Tells whether a request may be written to a plain service. */
   @FunctionalInterface
   interface Dispatch {
--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Verification.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Verification.java
@@ -20,11 +20,13 @@
   private final long schedules;
   private final long firstSeed;
   private final Consumer<Seams> change;
+  private final int maxFailures;
 
-  private Verification(long schedules, long firstSeed, Consumer<Seams> change) {
+  private Verification(long schedules, long firstSeed, Consumer<Seams> change, int maxFailures) {
     this.schedules = schedules;
     this.firstSeed = firstSeed;
     this.change = change;
+    this.maxFailures = maxFailures;
   }
 
   /**
@@ -38,7 +40,7 @@
     if (schedules < 1) {
       throw new IllegalArgumentException("schedules must be greater than 0, was " + schedules);
     }
-    return new Verification(schedules, firstSeed, seams -> {});
+    return new Verification(schedules, firstSeed, seams -> {}, MAX_FAILURES);
   }
 
   /**
@@ -53,7 +55,11 @@
 
   /** Replaces calls into the state machines; used to plant faults in tests. */
   Verification with(Consumer<Seams> planted) {
-    return new Verification(schedules, firstSeed, planted);
+    return new Verification(schedules, firstSeed, planted, maxFailures);
+  }
+
+  Verification stopAtFirstFailure() {
+    return new Verification(schedules, firstSeed, change, 1);
   }
 
   /**
@@ -65,7 +71,7 @@
     List<FailedSchedule> failed = new ArrayList<>();
     long done = 0;
     long steps = 0;
-    while (done < schedules && failed.size() < MAX_FAILURES) {
+    while (done < schedules && failed.size() < maxFailures) {
       long seed = firstSeed + done;
       Schedule.Outcome outcome = Schedule.run(seed, change, Optional.empty());
       outcome.violation().ifPresent(violation -> failed.add(trace(seed, violation)));
--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Vm.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Vm.java
@@ -20,6 +20,7 @@
   private Optional<Node> node = Optional.empty();
   private boolean paused;
   private boolean logReachable = true;
+  private boolean appendsPass;
   private long undisturbedSinceMs;
 
   Vm(String name, String domain, Deployment deployment) {
@@ -53,10 +54,16 @@
     return paused ? Optional.empty() : node;
   }
 
+  /** Tells whether answers of the log come through. */
   boolean reachesLog() {
     return logReachable;
   }
 
+  /** Tells whether appends come through. */
+  boolean writesLog() {
+    return logReachable || appendsPass;
+  }
+
   /** Tells since when neither the VM, its process nor its network had a fault. */
   long undisturbedSinceMs() {
     boolean disturbed = paused || node.isEmpty() || !logReachable || deployment.log.isDown();
@@ -109,9 +116,16 @@
   void setLogReachable(boolean reachable) {
     deployment.world.trace(() -> name + (reachable ? " reaches" : " does not reach") + " the log");
     logReachable = reachable;
+    appendsPass = false;
     disturb();
   }
 
+  /** Cuts the answers of the log off, while appends still come through. */
+  void loseAnswersOfLog() {
+    setLogReachable(false);
+    appendsPass = true;
+  }
+
   /** Runs something in a process: after its pause, and not at all once it has ended. */
   void inProcess(Node process, Runnable what) {
     if (node.isEmpty() || node.get() != process) {
--- a/samphiregauge-verify/src/test/java/io/samphiregauge/verify/VerificationTest.java
+++ b/samphiregauge-verify/src/test/java/io/samphiregauge/verify/VerificationTest.java
@@ -9,7 +9,6 @@
   @Test
   void noScheduleBreaksAPromise() {
     VerificationReport report = Verification.of(2_000, 1).run();
-    System.out.println(report.steps());
     report
         .failed()
         .forEach(
