Keep room on engines for teams below their share

Cause: in a storm one team filled all slots, and tight requests of other teams were refused. The gate tries the heads of four teams and lets teams over their share fill fewer slots; predictions get a margin of 30%; decode engines report split requests that they expect; lengths are learned by route until the team has answers of its own.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/admit/RequestGate.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/admit/RequestGate.java
@@ -1,5 +1,6 @@
 package io.samphiregauge.core.admit;
 
+import io.samphiregauge.core.engine.EngineView;
 import io.samphiregauge.core.fair.FairQueue;
 import io.samphiregauge.core.route.Placement;
 import java.util.Objects;
@@ -26,8 +27,20 @@
    */
   public static final double MAX_ENGINE_QUEUE_MS = 600;
 
-  /** A prediction of the total time is off by about this share under load. */
-  private static final double PREDICTION_MARGIN = 0.1;
+  /** An engine gets no more work while more than this share of its slots is taken or waited for. */
+  private static final double MAX_FILL = 1.15;
+
+  /**
+   * The same for a team that has had more than its share lately. The room above it is kept for the
+   * others, whose requests with tight deadlines would be refused on engines that one team filled.
+   */
+  private static final double OVER_SHARE_FILL = 1.0;
+
+  /** A request waits for its team's turn only; other teams may go first, up to this number. */
+  private static final int MAX_TEAMS_TRIED = 4;
+
+  /** Answers may be longer than expected, by 40% in the traces, and engines fill up meanwhile. */
+  private static final double PREDICTION_MARGIN = 1.3;
 
   /** Time constant of the measured service rate. */
   private static final double RATE_MS = 5_000;
@@ -59,6 +72,7 @@
   public record Refuse<T>(Arrival<T> arrival, Refusal refusal) implements Decision<T> {}
 
   private final FairQueue<Arrival<T>> queue = new FairQueue<>();
+  private final TeamUsage usage = new TeamUsage();
   private final Function<T, Optional<Placement>> place;
   private double sentCost;
   private double busyMs;
@@ -94,7 +108,7 @@
     double waitMs = ahead * busyMs / Math.max(1, sentCost);
     double totalMs = place.apply(arrival.content()).map(Placement::totalMs).orElse(0.0);
     double leftMs = arrival.deadlineMs() - nowMs;
-    if (waitMs + totalMs * (1 - PREDICTION_MARGIN) > leftMs) {
+    if (waitMs + totalMs * PREDICTION_MARGIN > leftMs) {
       return Optional.of(new Refusal.Late(Math.round(waitMs + totalMs), Math.round(leftMs)));
     }
     queue.offer(arrival.team(), arrival.weight(), arrival.cost(), arrival);
@@ -110,22 +124,28 @@
    */
   public Optional<Decision<T>> next(long nowMs) {
     age(nowMs);
-    Optional<FairQueue.Waiting<Arrival<T>>> head = queue.peek();
-    if (head.isEmpty()) {
-      return Optional.empty();
+    for (FairQueue.Waiting<Arrival<T>> head : queue.heads(MAX_TEAMS_TRIED)) {
+      Optional<Decision<T>> decision = decide(head.content(), nowMs);
+      if (decision.isPresent()) {
+        return decision;
+      }
     }
-    Arrival<T> arrival = head.get().content();
+    return Optional.empty();
+  }
+
+  private Optional<Decision<T>> decide(Arrival<T> arrival, long nowMs) {
     double leftMs = arrival.deadlineMs() - nowMs;
     Optional<Placement> placement = place.apply(arrival.content());
     double totalMs = placement.map(Placement::totalMs).orElse(0.0);
-    if (leftMs <= 0 || totalMs * (1 - PREDICTION_MARGIN) > leftMs) {
-      queue.drop();
+    if (leftMs <= 0 || totalMs * PREDICTION_MARGIN > leftMs) {
+      queue.drop(arrival.team());
       return Optional.of(
           new Refuse<>(arrival, new Refusal.Late(Math.round(totalMs), Math.round(leftMs))));
     }
+    double fill = usage.overShare(arrival.team(), nowMs) ? OVER_SHARE_FILL : MAX_FILL;
     return placement
-        .filter(choice -> choice.queueMs() <= MAX_ENGINE_QUEUE_MS)
-        .map(choice -> send(arrival, choice));
+        .filter(choice -> hasRoom(choice, fill))
+        .map(choice -> send(arrival, choice, nowMs));
   }
 
   /**
@@ -148,8 +168,15 @@
     queue.chargeElsewhere(team, cost);
   }
 
-  private Decision<T> send(Arrival<T> arrival, Placement placement) {
-    queue.poll();
+  private static boolean hasRoom(Placement choice, double fill) {
+    EngineView decode = choice.decodeEngine();
+    return choice.queueMs() <= MAX_ENGINE_QUEUE_MS * fill
+        && decode.sequences() < fill * decode.profile().slots();
+  }
+
+  private Decision<T> send(Arrival<T> arrival, Placement placement, long nowMs) {
+    queue.poll(arrival.team());
+    usage.served(arrival.team(), arrival.weight(), arrival.cost(), nowMs);
     sentCost += arrival.cost();
     return new Dispatch<>(arrival, placement);
   }
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/fair/FairQueue.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/fair/FairQueue.java
@@ -1,9 +1,11 @@
 package io.samphiregauge.core.fair;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeSet;
@@ -88,16 +90,60 @@
     return order.isEmpty() ? Optional.empty() : Optional.of(order.first().waiting.element());
   }
 
+  /**
+   * Returns the first requests of the teams that are served next.
+   *
+   * @param most number of teams
+   * @return requests in the order of service; they stay in the queue
+   */
+  public List<Waiting<T>> heads(int most) {
+    List<Waiting<T>> heads = new ArrayList<>(Math.min(most, order.size()));
+    for (Team<T> team : order) {
+      if (heads.size() >= most) {
+        break;
+      }
+      heads.add(team.waiting.element());
+    }
+    return heads;
+  }
+
   /** Takes the request to serve next, and charges its expected cost to its team. */
   public Optional<Waiting<T>> poll() {
-    Optional<Waiting<T>> next = take();
-    next.ifPresent(waiting -> charge(waiting.team(), waiting.cost()));
+    return peek().flatMap(next -> poll(next.team()));
+  }
+
+  /**
+   * Takes the first request of a team, and charges its expected cost.
+   *
+   * @param team name of the team
+   * @return the request, or empty when the team has none
+   */
+  public Optional<Waiting<T>> poll(String team) {
+    Optional<Waiting<T>> next = drop(team);
+    next.ifPresent(waiting -> charge(team, waiting.cost()));
     return next;
   }
 
-  /** Takes the request to serve next without a charge, because it will not run. */
-  public Optional<Waiting<T>> drop() {
-    return take();
+  /**
+   * Takes the first request of a team without a charge, because it will not run.
+   *
+   * @param team name of the team
+   * @return the request, or empty when the team has none
+   */
+  public Optional<Waiting<T>> drop(String team) {
+    Team<T> state = team(team);
+    if (state.waiting.isEmpty()) {
+      return Optional.empty();
+    }
+    order.remove(state);
+    virtualNow = Math.max(virtualNow, state.virtualTime);
+    Waiting<T> next = state.waiting.remove();
+    state.backlogCost = state.waiting.isEmpty() ? 0 : state.backlogCost - next.cost();
+    size--;
+    if (!state.waiting.isEmpty()) {
+      order.add(state);
+    }
+    return Optional.of(next);
   }
 
   /**
@@ -162,21 +208,6 @@
     return ahead;
   }
 
-  private Optional<Waiting<T>> take() {
-    if (order.isEmpty()) {
-      return Optional.empty();
-    }
-    Team<T> first = order.pollFirst();
-    virtualNow = Math.max(virtualNow, first.virtualTime);
-    Waiting<T> next = first.waiting.remove();
-    first.backlogCost -= next.cost();
-    size--;
-    if (!first.waiting.isEmpty()) {
-      order.add(first);
-    }
-    return Optional.of(next);
-  }
-
   private double virtualNow() {
     return order.isEmpty() ? virtualNow : order.first().virtualTime;
   }
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/route/LengthForecast.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/route/LengthForecast.java
@@ -3,7 +3,10 @@
 import java.util.HashMap;
 import java.util.Map;
 
-/** Expects the length of an answer from earlier answers on the same route of the same team. */
+/**
+ * Expects the length of an answer from earlier answers on the same route: of the same team, or of
+ * any team while the team has none.
+ */
 public final class LengthForecast {
   private static final double WEIGHT_OF_NEW = 0.1;
 
@@ -20,7 +23,8 @@
    * @return tokens
    */
   public double expected(String team, String route) {
-    return expected.getOrDefault(key(team, route), DEFAULT_TOKENS);
+    Double ofTeam = expected.get(key(team, route));
+    return ofTeam == null ? expected.getOrDefault(route, DEFAULT_TOKENS) : ofTeam;
   }
 
   /**
@@ -31,8 +35,12 @@
    * @param tokens length of the answer
    */
   public void answered(String team, String route, int tokens) {
-    expected.merge(
-        key(team, route), (double) tokens, (old, next) -> old + WEIGHT_OF_NEW * (next - old));
+    learn(key(team, route), tokens);
+    learn(route, tokens);
+  }
+
+  private void learn(String key, double tokens) {
+    expected.merge(key, tokens, (old, next) -> old + WEIGHT_OF_NEW * (next - old));
   }
 
   private static String key(String team, String route) {
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/route/Placement.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/route/Placement.java
@@ -21,4 +21,9 @@
     double firstTokenMs,
     double totalMs,
     int considered,
-    String reason) {}
+    String reason) {
+  /** Returns the engine that decodes. */
+  public EngineView decodeEngine() {
+    return decoder.orElse(engine);
+  }
+}
--- a/samphiregauge-replay/src/main/java/io/samphiregauge/replay/SimEngine.java
+++ b/samphiregauge-replay/src/main/java/io/samphiregauge/replay/SimEngine.java
@@ -195,7 +195,7 @@
         role,
         state == FleetEngine.State.SERVING,
         queued,
-        decoding.size() + imported.size(),
+        decoding.size() + imported.size() + expected.size(),
         model.getKvTokens() - kvUsed);
   }
 
