Order engines by a slow forecast, and count only serving engines for roles

Cause: one-second samples ordered engines in calm, and engines that still started made the role policy take too many mixed engines for prefill. A holder watches for 30 s before it orders.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/fleet/FleetPolicies.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/fleet/FleetPolicies.java
@@ -10,10 +10,10 @@
 /** Policies for the number and kind of engines, by name. */
 public final class FleetPolicies {
   /** More engines are ordered above this forecast load, so that bursts fit without late answers. */
-  private static final double HIGH_LOAD = 0.8;
+  private static final double HIGH_LOAD = 0.87;
 
   /** One engine is given back when the others would stay below this load. */
-  private static final double LOW_LOAD = 0.62;
+  private static final double LOW_LOAD = 0.68;
 
   /** The load after the loss of the failure domain with the most reclaimable engines. */
   private static final double LOAD_AFTER_RECLAIM = 0.95;
@@ -21,6 +21,11 @@
   /** Fewer engines have to be enough for so long; an order takes a minute to undo that. */
   private static final long LOW_FOR_MS = 45_000;
 
+  /** A new holder of the lease has no history; what it expects of lengths and caches is high. */
+  private static final long WATCH_FIRST_MS = 30_000;
+
+  private static final long NEVER = RolePolicy.Memory.NEVER;
+
   /** Fewest engines, so that the loss of one leaves a place for its requests. */
   private static final int MIN_ENGINES = 2;
 
@@ -51,9 +56,15 @@
       return new FleetPolicyDecision.Decision(memory, starts(view, engines, 1), List.of());
     }
     Capacity capacity = new Capacity(engines.get(0).profile());
+    if (memory.watchingSinceMs() == NEVER) {
+      return keep(new FleetPolicyDecision.Memory(view.nowMs(), NEVER));
+    }
+    if (view.nowMs() - memory.watchingSinceMs() < WATCH_FIRST_MS) {
+      return keep(memory);
+    }
     int missing = missing(capacity, view, engines);
     if (missing > 0) {
-      var next = new FleetPolicyDecision.Memory(RolePolicy.Memory.NEVER, view.nowMs());
+      var next = new FleetPolicyDecision.Memory(memory.watchingSinceMs(), NEVER);
       return new FleetPolicyDecision.Decision(next, starts(view, engines, missing), List.of());
     }
     return shrink(memory, view, engines, capacity);
@@ -84,28 +95,25 @@
             && load(capacity, view, fewer - atRisk) < LOAD_AFTER_RECLAIM;
     long now = view.nowMs();
     if (!enough) {
-      return keep(new FleetPolicyDecision.Memory(RolePolicy.Memory.NEVER, memory.lastOrderMs()));
+      return keep(new FleetPolicyDecision.Memory(memory.watchingSinceMs(), NEVER));
     }
-    boolean known = memory.lowSinceMs() != RolePolicy.Memory.NEVER;
+    boolean known = memory.lowSinceMs() != NEVER;
     long since = known ? memory.lowSinceMs() : now;
     if (now - since < LOW_FOR_MS) {
-      return keep(new FleetPolicyDecision.Memory(since, memory.lastOrderMs()));
+      return keep(new FleetPolicyDecision.Memory(memory.watchingSinceMs(), since));
     }
     List<String> drains = surplus(view, engines).map(e -> List.of(e.name())).orElse(List.of());
     return new FleetPolicyDecision.Decision(
-        new FleetPolicyDecision.Memory(now, now), List.of(), drains);
+        new FleetPolicyDecision.Memory(memory.watchingSinceMs(), now), List.of(), drains);
   }
 
   private static FleetPolicyDecision.Decision keep(FleetPolicyDecision.Memory memory) {
     return new FleetPolicyDecision.Decision(memory, List.of(), List.of());
   }
 
-  /** The worst of now, soon and the time at which an engine ordered now would serve. */
+  /** Load at the time at which an engine ordered now would serve. */
   private static double load(Capacity capacity, FleetView view, int engines) {
-    int serving = Math.max(1, engines);
-    double soon =
-        Math.max(capacity.bestLoad(view.soon(), serving), capacity.bestLoad(view.later(), serving));
-    return Math.max(soon, capacity.bestLoad(view.demand(), serving));
+    return capacity.bestLoad(view.later(), Math.max(1, engines));
   }
 
   /** Takes the dearer kind first, in the failure domain with the most engines. */
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/fleet/FleetPolicyDecision.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/fleet/FleetPolicyDecision.java
@@ -8,10 +8,10 @@
   /**
    * What a policy remembers between decisions.
    *
+   * @param watchingSinceMs since when the holder has watched the demand
    * @param lowSinceMs since when fewer engines would do, without a break
-   * @param lastOrderMs time of the last order
    */
-  record Memory(long lowSinceMs, long lastOrderMs) {
+  record Memory(long watchingSinceMs, long lowSinceMs) {
     /** Returns the memory before the first decision. */
     public static Memory empty() {
       return new Memory(RolePolicy.Memory.NEVER, RolePolicy.Memory.NEVER);
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/fleet/LoadForecast.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/fleet/LoadForecast.java
@@ -5,20 +5,39 @@
  * trend.
  */
 public final class LoadForecast {
-  private static final double LEVEL_WEIGHT = 0.25;
-  private static final double TREND_WEIGHT = 0.08;
-
   /** A trend is carried on for at most so many intervals; a longer one overshoots each swing. */
   private static final double MAX_TREND_INTERVALS = 20;
 
-  private final Series prefill = new Series();
-  private final Series output = new Series();
+  private final Series prefill;
+  private final Series output;
+
+  private LoadForecast(double levelWeight, double trendWeight) {
+    this.prefill = new Series(levelWeight, trendWeight);
+    this.output = new Series(levelWeight, trendWeight);
+  }
+
+  /** Follows a swing within seconds, for role changes. */
+  public static LoadForecast fast() {
+    return new LoadForecast(0.25, 0.08);
+  }
+
+  /** Follows a swing within half a minute, for orders that take a minute; ignores bursts. */
+  public static LoadForecast slow() {
+    return new LoadForecast(0.06, 0.01);
+  }
 
   private static final class Series {
+    private final double levelWeight;
+    private final double trendWeight;
     private double level;
     private double trend;
     private boolean started;
 
+    private Series(double levelWeight, double trendWeight) {
+      this.levelWeight = levelWeight;
+      this.trendWeight = trendWeight;
+    }
+
     private void add(double value) {
       if (!started) {
         level = value;
@@ -26,8 +45,8 @@
         return;
       }
       double before = level;
-      level += LEVEL_WEIGHT * (value - level);
-      trend += TREND_WEIGHT * (level - before - trend);
+      level += levelWeight * (value - level);
+      trend += trendWeight * (level - before - trend);
     }
 
     private double after(double intervals) {
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/fleet/RolePolicies.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/fleet/RolePolicies.java
@@ -74,13 +74,17 @@
 
   /** Returns how many engines should become prefill engines; negative to make them mixed again. */
   private static int wantedChange(FleetView view) {
-    List<FleetEngine> engines = view.engines().stream().filter(FleetEngine::counts).toList();
+    List<FleetEngine> engines =
+        view.engines().stream()
+            .filter(FleetEngine::counts)
+            .filter(e -> e.state() != FleetEngine.State.STARTING)
+            .toList();
     if (engines.size() < 2) {
       return 0;
     }
     Capacity capacity = new Capacity(engines.get(0).profile());
     Capacity.Roles roles = roles(engines);
-    double load = load(capacity, view, roles);
+    double load = capacity.load(view.soon(), roles);
     if (load < LOAD_THAT_NEEDS_ROLES) {
       return 0;
     }
@@ -91,7 +95,7 @@
       if (roles.mixed() - more < 1) {
         break;
       }
-      double benefit = (load - load(capacity, view, roles.withPrefill(more))) * BENEFIT_S;
+      double benefit = (load - capacity.load(view.soon(), roles.withPrefill(more))) * BENEFIT_S;
       double cost = load * CHANGE_S * Math.abs(more) / engines.size();
       if (benefit > GAIN_OVER_COST * cost && benefit - cost > bestGain) {
         bestGain = benefit - cost;
@@ -101,11 +105,6 @@
     return best;
   }
 
-  /** The worse of now and soon, so that a change helps at both times. */
-  private static double load(Capacity capacity, FleetView view, Capacity.Roles roles) {
-    return Math.max(capacity.load(view.demand(), roles), capacity.load(view.soon(), roles));
-  }
-
   private static Capacity.Roles roles(List<FleetEngine> engines) {
     return new Capacity.Roles(
         count(engines, EngineRole.MIXED),
--- a/samphiregauge-replay/src/main/java/io/samphiregauge/replay/FleetControl.java
+++ b/samphiregauge-replay/src/main/java/io/samphiregauge/replay/FleetControl.java
@@ -25,7 +25,8 @@
   private final SimFleet fleet;
   private final List<SimTraffic> entries;
   private final Meter meter;
-  private final LoadForecast forecast = new LoadForecast();
+  private final LoadForecast fast = LoadForecast.fast();
+  private final LoadForecast slow = LoadForecast.slow();
   private RolePolicy.Memory roleMemory = RolePolicy.Memory.empty();
   private FleetPolicyDecision.Memory fleetMemory = FleetPolicyDecision.Memory.empty();
   private boolean logUp = true;
@@ -51,7 +52,8 @@
 
   void decide() {
     Demand demand = demand();
-    forecast.add(demand);
+    fast.add(demand);
+    slow.add(demand);
     if (!logUp) {
       return;
     }
@@ -63,8 +65,8 @@
                 .map(e -> new FleetEngine(e.profile(), e.plannedRole(), e.state()))
                 .toList(),
             demand,
-            forecast.after(ROLE_HORIZON_S / intervalS),
-            forecast.after(settings.getEngine().getStartMs() / 1_000.0 / intervalS),
+            fast.after(ROLE_HORIZON_S / intervalS),
+            slow.after(settings.getEngine().getStartMs() / 1_000.0 / intervalS),
             settings.getFleet(),
             settings.getFailureDomains());
     RolePolicy.Decision roles = policy.roles().decide(roleMemory, view);
--- a/samphiregauge-replay/src/main/java/io/samphiregauge/replay/Policies.java
+++ b/samphiregauge-replay/src/main/java/io/samphiregauge/replay/Policies.java
@@ -34,7 +34,7 @@
             true,
             true,
             RolePolicies.costAndBenefit(),
-            FleetPolicies.fixed()));
+            FleetPolicies.forecast()));
     add(
         new PolicySet(
             STATIC,
