--- a/samphiregauge-replay/src/main/java/io/samphiregauge/replay/Replay.java
+++ b/samphiregauge-replay/src/main/java/io/samphiregauge/replay/Replay.java
@@ -96,7 +96,12 @@
         return Result.failed(
             new ReplayFailure.UnknownName("policy", name, String.join(", ", policies())));
       }
-      reports.add(Reports.of(new Simulation(trace, used, set.get(), seed).run(), name));
+      SimResult result = new Simulation(trace, used, set.get(), seed).run();
+      SimResult plain =
+          trace.events().isEmpty()
+              ? result
+              : new Simulation(trace.withoutEvents(), used, set.get(), seed).run();
+      reports.add(Reports.of(result, plain, name));
     }
     return Result.success(reports);
   }
--- a/samphiregauge-replay/src/main/java/io/samphiregauge/replay/Reports.java
+++ b/samphiregauge-replay/src/main/java/io/samphiregauge/replay/Reports.java
@@ -19,6 +19,7 @@
   private static final long AFTER_RECLAIM_MS = 30_000;
 
   private final SimResult result;
+  private final SimResult withoutEvents;
   private final EngineProfile reference;
   private final List<String> teams;
   private final int intervals;
@@ -27,8 +28,9 @@
   private final int[] offered;
   private final int[] good;
 
-  private Reports(SimResult result) {
+  private Reports(SimResult result, SimResult withoutEvents) {
     this.result = result;
+    this.withoutEvents = withoutEvents;
     this.reference = Simulation.reference(result.settings());
     this.teams = result.trace().teams();
     this.intervals = (int) (result.trace().endMs() / Meter.INTERVAL_MS) + 1;
@@ -40,8 +42,8 @@
   }
 
   /** Makes the report. */
-  static ReplayReport of(SimResult result, String policy) {
-    return new Reports(result).make(policy);
+  static ReplayReport of(SimResult result, SimResult withoutEvents, String policy) {
+    return new Reports(result, withoutEvents).make(policy);
   }
 
   /** Engine time that a request takes at best, in seconds. */
@@ -134,12 +136,16 @@
     return harmed;
   }
 
-  /** Counts all admitted requests that could have met the reclaim and missed their deadline. */
+  /**
+   * Counts admitted requests that missed their deadline, did not run on the lost engines, and were
+   * answered in time in a run without the reclaim.
+   */
   private int harmedBy(long reclaimMs) {
     return (int)
         result.jobs().stream()
             .filter(job -> is(job, SimJob.Outcome.LATE) || is(job, SimJob.Outcome.FAILED))
             .filter(job -> !job.lostInReclaim)
+            .filter(job -> is(withoutEvents.jobs().get(job.number), SimJob.Outcome.GOOD))
             .filter(job -> job.deadlineUs() / VirtualTime.US_PER_MS >= reclaimMs)
             .filter(job -> job.request.getAtMs() <= reclaimMs + AFTER_RECLAIM_MS)
             .count();
--- /dev/null
+++ b/samphiregauge-replay/src/test/java/io/samphiregauge/replay/ReplayTest.java
@@ -0,0 +1,84 @@
+package io.samphiregauge.replay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.samphiregauge.core.result.Failure;
+import io.samphiregauge.schema.replay.ReplayReport;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class ReplayTest {
+  private static final Path TRACES = Path.of("src/test/resources/traces");
+  private static final double SMALL = 0.0625;
+
+  /** Guards against a writer whose traces differ from the ones that figures were measured on. */
+  @Test
+  void writerReproducesTheCommittedTraces() throws IOException {
+    for (String deployment : List.of("th-central", "luzon")) {
+      for (String shape : Replay.shapes()) {
+        Trace trace = Replay.makeTrace(deployment, shape, 1, SMALL).value().orElseThrow();
+        String committed = Files.readString(TRACES.resolve(deployment + "-" + shape + ".jsonl"));
+        assertThat(Replay.format(trace)).isEqualTo(committed);
+      }
+    }
+  }
+
+  /** Guards against reports that depend on hash order, the wall clock or earlier runs. */
+  @Test
+  void equalArgumentsGiveEqualBytes() {
+    Trace trace = trace("th-central-reclaim");
+    String first = Replay.json(run(trace));
+    assertThat(Replay.json(run(trace))).isEqualTo(first);
+  }
+
+  /** Guards against requests that vanish, and against refusals of requests that ran. */
+  @Test
+  void everyRequestHasOneOutcomeAndNoRefusalIsFalse() {
+    for (ReplayReport report : run(trace("luzon-swing"))) {
+      int ended = report.getGood() + report.getLate() + report.getFailed();
+      assertThat(ended + report.getRefusedNotRun()).isEqualTo(report.getOffered());
+      assertThat(report.getRefusedFalse()).isZero();
+    }
+  }
+
+  /** Guards against a bound that a policy passes. */
+  @Test
+  void noPolicyPassesTheBound() {
+    List<ReplayReport> reports = run(trace("th-central-storm"));
+    int bound = reports.get(reports.size() - 1).getGood();
+    assertThat(reports).allMatch(report -> report.getGood() <= bound);
+  }
+
+  /** Guards against an error that does not say where the trace is wrong. */
+  @Test
+  void malformedLineIsNamed() {
+    Optional<Failure> failure =
+        TraceFiles.parse("x", "x.jsonl", List.of("{\"at_ms\":0,\"even\":\"log_back\"}")).failure();
+    assertThat(failure.orElseThrow().message()).contains("Line 1 of \"x.jsonl\"");
+  }
+
+  /** Guards against a page without plots or table. */
+  @Test
+  void reportDirectoryHasPageAndPlots(@TempDir Path directory) throws IOException {
+    List<ReplayReport> reports =
+        Replay.of(trace("luzon-calm")).policy("product").run().value().orElseThrow();
+    Path page = Replay.writeReport(reports, directory).value().orElseThrow();
+    assertThat(Files.readString(page)).contains("<table>").contains("goodput.png");
+    assertThat(directory.resolve("roles-product.png")).isNotEmptyFile();
+    assertThat(directory.resolve("teams-product.png")).isNotEmptyFile();
+    assertThat(directory.resolve("cost.png")).isNotEmptyFile();
+  }
+
+  private static Trace trace(String name) {
+    return Replay.readTrace(TRACES.resolve(name + ".jsonl")).value().orElseThrow();
+  }
+
+  private static List<ReplayReport> run(Trace trace) {
+    return Replay.of(trace).run().value().orElseThrow();
+  }
+}
