--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/HttpServer.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/HttpServer.java
@@ -5,12 +5,19 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.samphiregauge.core.Clock;
 import io.samphiregauge.core.result.Result;
 import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.Supplier;
 
 /** Accepts HTTP connections and gives each one a handler of its own. */
@@ -19,9 +26,11 @@
   private static final int MAX_CHUNK_BYTES = 16 * 1024;
 
   private final Channel channel;
+  private final ChannelGroup callers;
 
-  private HttpServer(Channel channel) {
+  private HttpServer(Channel channel, ChannelGroup callers) {
     this.channel = channel;
+    this.callers = callers;
   }
 
   /**
@@ -38,6 +47,18 @@
       Address address,
       int maxHeaderBytes,
       Supplier<ChannelHandler[]> handlers) {
+    return bind(
+        loops,
+        address,
+        pipeline ->
+            pipeline
+                .addLast(new HttpServerCodec(MAX_LINE_BYTES, maxHeaderBytes, MAX_CHUNK_BYTES))
+                .addLast(handlers.get()));
+  }
+
+  private static Result<HttpServer> bind(
+      EventLoopGroup loops, Address address, Consumer<ChannelPipeline> handlers) {
+    ChannelGroup callers = new DefaultChannelGroup(loops.next(), true);
     ServerBootstrap bootstrap =
         new ServerBootstrap()
             .group(loops)
@@ -49,21 +70,52 @@
                 new ChannelInitializer<SocketChannel>() {
                   @Override
                   protected void initChannel(SocketChannel child) {
-                    child
-                        .pipeline()
-                        .addLast(
-                            new HttpServerCodec(MAX_LINE_BYTES, maxHeaderBytes, MAX_CHUNK_BYTES))
-                        .addLast(handlers.get());
+                    callers.add(child);
+                    handlers.accept(child.pipeline());
                   }
                 });
     var bound = bootstrap.bind(address.toSocketAddress()).awaitUninterruptibly();
     if (bound.isSuccess()) {
-      return Result.success(new HttpServer(bound.channel()));
+      return Result.success(new HttpServer(bound.channel(), callers));
     }
     return Result.failed(
         new NetFailure.NotConnected(address.toString(), String.valueOf(bound.cause())));
   }
 
+  /**
+   * Starts to accept connections whose requests arrive whole, one at a time.
+   *
+   * @param loops event loops that carry the connections; they stay the caller's
+   * @param address address to bind, with port 0 for a free one
+   * @param limits limits of a request
+   * @param clock clock that the limits of time are counted on
+   * @param handler makes the handler of a connection, on its event loop; it sees a {@code
+   *     FullHttpRequest} or a {@link RequestFault} and writes one answer to each
+   * @return the server, or why the address could not be bound
+   */
+  public static Result<HttpServer> start(
+      EventLoopGroup loops,
+      Address address,
+      HttpLimits limits,
+      Clock clock,
+      Function<Channel, ChannelHandler> handler) {
+    return bind(
+        loops,
+        address,
+        pipeline -> wholeRequests(pipeline, limits, clock, handler.apply(pipeline.channel())));
+  }
+
+  static void wholeRequests(
+      ChannelPipeline pipeline, HttpLimits limits, Clock clock, ChannelHandler handler) {
+    RequestGate gate = new RequestGate(limits, clock);
+    pipeline
+        .addLast(gate.arrivals())
+        .addLast(new HttpServerCodec(MAX_LINE_BYTES, limits.maxHeaderBytes(), MAX_CHUNK_BYTES))
+        .addLast(gate)
+        .addLast(new BodyLimit(limits.maxBodyBytes()))
+        .addLast(handler);
+  }
+
   /**
    * Returns the address that the server is bound to.
    *
@@ -73,6 +125,24 @@
     return Address.of((InetSocketAddress) channel.localAddress());
   }
 
+  /**
+   * Stops to accept connections, and closes each open one as soon as no request is on it; only for
+   * a server whose requests arrive whole.
+   *
+   * @return completes when no connection is open
+   */
+  public CompletableFuture<Void> finish() {
+    CompletableFuture<Void> finished = new CompletableFuture<>();
+    channel.close().addListener(closed -> closeCallers(finished));
+    return finished;
+  }
+
+  private void closeCallers(CompletableFuture<Void> finished) {
+    callers.forEach(
+        caller -> caller.pipeline().fireUserEventTriggered(RequestGate.CLOSE_WHEN_IDLE));
+    callers.newCloseFuture().addListener(closed -> finished.complete(null));
+  }
+
   /** Stops to accept connections; open ones go on. */
   @Override
   public void close() {
