--- a/samphiregauge-bench/src/main/java/io/samphiregauge/bench/RelayExperiment.java
+++ b/samphiregauge-bench/src/main/java/io/samphiregauge/bench/RelayExperiment.java
@@ -2,8 +2,8 @@
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
-import io.samphiregauge.core.config.ConfigView;
 import io.samphiregauge.core.config.KeyDigest;
+import io.samphiregauge.core.log.Fold;
 import io.samphiregauge.core.log.FoldedState;
 import io.samphiregauge.core.route.RoutingPolicies;
 import io.samphiregauge.daemon.traffic.TrafficParts;
@@ -18,13 +18,15 @@
 import io.samphiregauge.schema.config.Model;
 import io.samphiregauge.schema.config.Settings;
 import io.samphiregauge.schema.config.Team;
+import io.samphiregauge.schema.config.Withdrawal;
 import io.samphiregauge.schema.record.Incarnation;
+import io.samphiregauge.schema.record.LogRecord;
+import io.samphiregauge.schema.record.Note;
 import java.lang.management.ManagementFactory;
 import java.lang.management.ThreadMXBean;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.ToDoubleFunction;
@@ -157,15 +159,17 @@
     Backend engine =
         new Backend(
             "e1", BackendKind.ENGINE, backend.toString(), "a", List.of("m1"), false, true, 1_000);
-    ConfigView config =
-        ConfigView.of(
-            new Configuration(
-                List.of(team),
-                List.of(new Model("m1", List.of("1"), 1L, 1L)),
-                List.of(),
-                List.of(engine)));
-    FoldedState state =
-        new FoldedState(1, 1, config, Map.of(), Map.of(), Map.of(), Map.of(), Map.of(), Map.of());
+    Configuration added =
+        new Configuration(
+            List.of(team),
+            List.of(new Model("m1", List.of("1"), 1L, 1L)),
+            List.of(),
+            List.of(engine));
+    Configuration nothing = new Configuration(List.of(), List.of(), List.of(), List.of());
+    Withdrawal none = new Withdrawal(List.of(), List.of(), List.of(), List.of(), List.of());
+    Incarnation operator = new Incarnation("operator", 1L, 1L);
+    LogRecord note = new LogRecord(operator, 1L, new Note(-1L, "ops", added, nothing, none));
+    FoldedState state = Fold.apply(FoldedState.empty(), 0, note).state();
     TrafficView view = new TrafficView(state, true, true, Set.of(), Set.of());
     TrafficParts parts =
         new TrafficParts(
--- a/samphiregauge-daemon/src/test/java/io/samphiregauge/daemon/traffic/TestEntry.java
+++ b/samphiregauge-daemon/src/test/java/io/samphiregauge/daemon/traffic/TestEntry.java
@@ -3,12 +3,14 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.samphiregauge.core.Clock;
-import io.samphiregauge.core.config.ConfigView;
 import io.samphiregauge.core.config.KeyDigest;
+import io.samphiregauge.core.log.Fold;
+import io.samphiregauge.core.log.FoldStep;
 import io.samphiregauge.core.log.FoldedState;
 import io.samphiregauge.core.route.RoutingPolicies;
 import io.samphiregauge.net.Address;
 import io.samphiregauge.net.Codec;
+import io.samphiregauge.schema.RecordBody;
 import io.samphiregauge.schema.config.Backend;
 import io.samphiregauge.schema.config.BackendKind;
 import io.samphiregauge.schema.config.Configuration;
@@ -16,15 +18,16 @@
 import io.samphiregauge.schema.config.Service;
 import io.samphiregauge.schema.config.Settings;
 import io.samphiregauge.schema.config.Team;
+import io.samphiregauge.schema.config.Withdrawal;
+import io.samphiregauge.schema.record.Ended;
 import io.samphiregauge.schema.record.Incarnation;
 import io.samphiregauge.schema.record.Joined;
-import io.samphiregauge.schema.record.ProcessState;
+import io.samphiregauge.schema.record.LogRecord;
+import io.samphiregauge.schema.record.Note;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
@@ -35,11 +38,19 @@
   static final String KEY = "secret";
   static final Clock CLOCK = () -> System.nanoTime() / 1_000_000;
 
+  private static final Configuration NOTHING =
+      new Configuration(List.of(), List.of(), List.of(), List.of());
+  private static final Withdrawal NONE =
+      new Withdrawal(List.of(), List.of(), List.of(), List.of(), List.of());
+  private static final Incarnation OPERATOR = new Incarnation("operator", 1L, 1L);
+
   final AtomicReference<TrafficView> view = new AtomicReference<>();
   final AtomicLong outputTokens = new AtomicLong();
   final Incarnation self;
   final TrafficServer server;
   private final EventLoopGroup loops;
+  private final List<LogRecord> processes = new ArrayList<>();
+  private Note note = new Note(-1L, "ops", NOTHING, NOTHING, NONE);
 
   TestEntry(String vm, int threads, int keepMs, List<Backend> backends) {
     this.loops = new NioEventLoopGroup(threads);
@@ -70,35 +81,48 @@
     Configuration configuration =
         new Configuration(
             List.of(team), List.of(new Model("m1", List.of("1"), 1L, 1L)), services, backends);
-    Map<String, ProcessState> processes =
-        view.get() == null ? Map.of() : view.get().state().processes();
-    set(ConfigView.of(configuration), processes, true);
+    note = new Note(-1L, "ops", configuration, NOTHING, NONE);
+    publish(true);
   }
 
   /** Makes entries know each other. */
   void join(List<TestEntry> entries) {
-    Map<String, ProcessState> processes = new TreeMap<>();
+    processes.clear();
     for (TestEntry entry : entries) {
-      Joined joined = new Joined("luzon", "a", entry.server.address().toString(), "127.0.0.1:1");
-      processes.put(entry.self.getVm(), new ProcessState(entry.self, joined, false, 1L));
+      String address = entry.server.address().toString();
+      add(entry.self, 1, new Joined("luzon", "a", address, "127.0.0.1:1"));
     }
-    set(view.get().config(), processes, true);
+    publish(true);
   }
 
   void markEnded(Incarnation ended) {
-    Map<String, ProcessState> processes = new TreeMap<>(view.get().state().processes());
-    Joined joined = new Joined("luzon", "a", "127.0.0.1:1", "127.0.0.1:1");
-    processes.put(ended.getVm(), new ProcessState(ended, joined, true, 2L));
-    set(view.get().config(), processes, true);
+    add(ended, 1, new Joined("luzon", "a", "127.0.0.1:1", "127.0.0.1:1"));
+    add(ended, 2, new Ended(ended));
+    publish(true);
   }
 
   void setFresh(boolean fresh) {
-    set(view.get().config(), view.get().state().processes(), fresh);
+    publish(fresh);
+  }
+
+  private void add(Incarnation writer, long sequence, RecordBody body) {
+    processes.add(new LogRecord(writer, sequence, body));
   }
 
-  private void set(ConfigView config, Map<String, ProcessState> processes, boolean fresh) {
-    FoldedState state =
-        new FoldedState(1, 1, config, Map.of(), processes, Map.of(), Map.of(), Map.of(), Map.of());
+  /** Folds the note and the records of the processes, as if they were the whole log. */
+  private void publish(boolean fresh) {
+    FoldedState state = FoldedState.empty();
+    List<LogRecord> log = new ArrayList<>(processes);
+    log.add(0, new LogRecord(OPERATOR, 1L, note));
+    for (int offset = 0; offset < log.size(); offset++) {
+      FoldStep step = Fold.apply(state, offset, log.get(offset));
+      step.rejection()
+          .ifPresent(
+              failure -> {
+                throw new AssertionError(failure.message());
+              });
+      state = step.state();
+    }
     view.set(new TrafficView(state, fresh, true, Set.of(), Set.of()));
   }
 
--- a/samphiregauge-daemon/src/test/java/io/samphiregauge/daemon/traffic/TrafficTest.java
+++ b/samphiregauge-daemon/src/test/java/io/samphiregauge/daemon/traffic/TrafficTest.java
@@ -81,7 +81,7 @@
       entry.configure(List.of("other"), List.of(TestEntry.engine("e1", engine.address())));
       RawCaller.Answer answer = caller.complete(FIVE_TOKENS);
       assertThat(answer.status()).isEqualTo(401);
-      assertThat(answer.body()).contains("unknown_key", "not_run");
+      assertThat(answer.body()).contains("unknown_key", "not_run").doesNotContain("null");
     }
   }
 
@@ -194,7 +194,7 @@
       assertThat(caller.ask("GET", "/metrics", "", "").body())
           .contains("\"answers_2xx\":", "\"whole_answer_us_p99\":");
       assertThat(caller.ask("GET", "/v1/status", "", "").body())
-          .contains("\"vm\":\"vm1\"", "\"noteOffset\":1", "\"draining\":false");
+          .contains("\"vm\":\"vm1\"", "\"noteOffset\":0", "\"draining\":false");
       assertThat(caller.ask("GET", "/v1/directory?tickets=2", "", "").body())
           .contains(entry.server.address().toString(), "\"keepMs\":5000", "vm1.1.1.");
     }
