--- a/samphiregauge-bench/src/main/java/io/samphiregauge/bench/RelayExperiment.java
+++ b/samphiregauge-bench/src/main/java/io/samphiregauge/bench/RelayExperiment.java
@@ -165,7 +165,7 @@
                 List.of(),
                 List.of(engine)));
     FoldedState state =
-        new FoldedState(1, 1, config, Map.of(), Map.of(), Map.of(), Map.of(), Map.of(), Map.of());
+        FoldedState.of(config, Map.of());
     TrafficView view = new TrafficView(state, true, true, Set.of(), Set.of());
     TrafficParts parts =
         new TrafficParts(
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/log/FoldedState.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/log/FoldedState.java
@@ -78,6 +78,17 @@
         List.of());
   }
 
+  /**
+   * Returns a state with a configuration and processes only, as a traffic component is tested with.
+   *
+   * @param config configuration in force
+   * @param processes newest process of each VM
+   * @return the state at offset 1
+   */
+  public static FoldedState of(ConfigView config, Map<String, ProcessState> processes) {
+    return empty().at(1).withNote(1, config).withProcesses(processes);
+  }
+
   /**
    * Finds a lease that was claimed at least once.
    *
@@ -207,12 +218,16 @@
   }
 
   FoldedState withProcess(ProcessState process) {
+    return withProcesses(with(processes, process.getIncarnation().getVm(), process));
+  }
+
+  FoldedState withProcesses(Map<String, ProcessState> next) {
     return new FoldedState(
         upToOffset,
         noteOffset,
         config,
         leases,
-        with(processes, process.getIncarnation().getVm(), process),
+        next,
         openIntents,
         windows,
         lastSealedWindows,
--- a/samphiregauge-daemon/src/test/java/io/samphiregauge/daemon/traffic/TestEntry.java
+++ b/samphiregauge-daemon/src/test/java/io/samphiregauge/daemon/traffic/TestEntry.java
@@ -97,8 +97,7 @@
   }
 
   private void set(ConfigView config, Map<String, ProcessState> processes, boolean fresh) {
-    FoldedState state =
-        new FoldedState(1, 1, config, Map.of(), processes, Map.of(), Map.of(), Map.of(), Map.of());
+    FoldedState state = FoldedState.of(config, processes);
     view.set(new TrafficView(state, fresh, true, Set.of(), Set.of()));
   }
 
