Keep suspects away from engines that they may not have alone

A request that crashed an engine ran at once on the next one. The view of the traffic side may carry suspicions now: a condemned request is refused with not_run, crashes_backend; a suspect asks the CrashListener for an engine of its own and reports its end; a clear request avoids reserved engines.

--- a/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/traffic/Call.java
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/traffic/Call.java
@@ -1,11 +1,11 @@
 package io.samphiregauge.daemon.traffic;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import io.samphiregauge.core.config.KeyDigest;
 import io.samphiregauge.core.route.RouteRequest;
-import java.nio.charset.StandardCharsets;
+import io.samphiregauge.core.suspect.Fingerprint;
 import java.util.OptionalLong;
 
 /**
@@ -40,7 +40,6 @@
 
   /** Digests team, route and body. */
   String fingerprint() {
-    String bodyDigest = KeyDigest.of(body.toString(StandardCharsets.ISO_8859_1));
-    return KeyDigest.of(String.join("\n", teamLabel(), method.name(), uri, bodyDigest));
+    return Fingerprint.of(teamLabel(), method.name() + ' ' + uri, ByteBufUtil.getBytes(body));
   }
 }
--- a/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/traffic/Exchange.java
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/traffic/Exchange.java
@@ -18,6 +18,7 @@
 import io.samphiregauge.core.result.Failure;
 import io.samphiregauge.core.result.Result;
 import io.samphiregauge.core.route.Route;
+import io.samphiregauge.core.suspect.Standing;
 import io.samphiregauge.net.Address;
 import io.samphiregauge.net.AnswerSink;
 import io.samphiregauge.net.HttpConnection;
@@ -50,6 +51,7 @@
   private boolean dispatchedBefore;
   private boolean answering;
   private boolean over;
+  private boolean isolated;
   private int countedTokens;
 
   /**
@@ -109,6 +111,46 @@
     if (over) {
       return;
     }
+    Standing standing = loop.router().standing(call);
+    if (standing == Standing.CONDEMNED) {
+      refuseOrCut(503, "crashes_backend", "The request has crashed two engines.");
+    } else if (standing == Standing.SUSPECT && !isolated) {
+      isolate();
+    } else {
+      run();
+    }
+  }
+
+  /** Waits for an engine on which a suspect harms no other request. */
+  private void isolate() {
+    loop.parts()
+        .crashes()
+        .isolate(
+            call.fingerprint(),
+            loop.router().engines(call, tried),
+            engine -> loop.eventLoop().execute(() -> granted(engine)));
+  }
+
+  private void granted(Optional<String> engine) {
+    if (over) {
+      engine.ifPresent(name -> loop.parts().crashes().finished(call.fingerprint(), false));
+    } else if (engine.isPresent()) {
+      isolated = true;
+      run();
+    } else {
+      refuseOrCut(503, "no_engine_alone", "No engine can run the request alone at the moment.");
+    }
+  }
+
+  private void refuseOrCut(int status, String type, String message) {
+    if (answering) {
+      cutOff();
+    } else {
+      refuse(status, type, message);
+    }
+  }
+
+  private void run() {
     Optional<Route> route = loop.router().route(call, tried);
     if (route.isEmpty()) {
       noBackend();
@@ -122,15 +164,11 @@
   }
 
   private void noBackend() {
-    if (answering) {
-      cutOff();
-      return;
-    }
     String text =
         tried.isEmpty()
             ? "No backend server serves \"%s\".".formatted(call.target())
             : "No other backend server serves \"%s\".".formatted(call.target());
-    refuse(503, "no_backend", text);
+    refuseOrCut(503, "no_backend", text);
   }
 
   private void connect(Backend chosen, Address target) {
@@ -164,7 +202,8 @@
     if (body.isEmpty() || (!dispatched && !mayDispatch.getAsBoolean())) {
       open.abandon();
       leaveBackend();
-      endWithoutDispatch();
+      refuseOrCut(
+          409, "not_dispatched", "The call may not be handed to a backend server any more.");
       return;
     }
     dispatchedBefore = dispatched;
@@ -211,6 +250,7 @@
       output.part().accept(part);
     }
     if (part instanceof LastHttpContent) {
+      leaveIsolation(true);
       connection = Optional.empty();
       leaveBackend();
       finish();
@@ -291,6 +331,7 @@
     Optional<Backend> failed = backend;
     connection = Optional.empty();
     leaveBackend();
+    isolated = false;
     failed.ifPresent(server -> loop.shared().loads().failed(server.getName()));
     if (call.isForEngine() && failed.isPresent()) {
       loop.parts()
@@ -355,14 +396,6 @@
     output.refuse().accept(failure);
   }
 
-  private void endWithoutDispatch() {
-    if (answering) {
-      cutOff();
-    } else {
-      refuse(409, "not_dispatched", "The call may not be handed to a backend server any more.");
-    }
-  }
-
   private void cutOff() {
     finish();
     stream.ifPresent(events -> output.part().accept(EventStreams.endedEarly()));
@@ -377,8 +410,16 @@
     return left;
   }
 
+  private void leaveIsolation(boolean toItsEnd) {
+    if (isolated) {
+      isolated = false;
+      loop.parts().crashes().finished(call.fingerprint(), toItsEnd);
+    }
+  }
+
   private void finish() {
     over = true;
+    leaveIsolation(false);
     stream.ifPresent(EventStream::dropPartial);
     loop.shared().running().end();
   }
--- a/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/traffic/Router.java
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/traffic/Router.java
@@ -3,12 +3,15 @@
 import io.samphiregauge.core.result.Result;
 import io.samphiregauge.core.route.Candidate;
 import io.samphiregauge.core.route.Route;
+import io.samphiregauge.core.suspect.Standing;
+import io.samphiregauge.core.suspect.SuspicionView;
 import io.samphiregauge.net.Address;
 import io.samphiregauge.schema.config.Backend;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /** Gathers the candidates for a request and records the choice among them. */
 final class Router {
@@ -27,6 +30,7 @@
   /** Chooses a backend server that was not tried before. */
   Optional<Route> route(Call call, Set<String> tried) {
     TrafficView view = parts.views().get();
+    Predicate<String> mayStart = mayStart(call, view);
     List<Backend> serving =
         call.route()
             .model()
@@ -35,7 +39,7 @@
     List<Candidate> candidates = new ArrayList<>(serving.size());
     for (Backend backend : serving) {
       String name = backend.getName();
-      if (!tried.contains(name) && !view.leavingBackends().contains(name) && !loads.isHeld(name)) {
+      if (isUsable(view, name, tried) && mayStart.test(name)) {
         candidates.add(new Candidate(backend, loads.running(name), 0, hopUs(backend)));
       }
     }
@@ -44,6 +48,39 @@
     return route;
   }
 
+  /** Tells how a call may run; only calls for engines can be suspects. */
+  Standing standing(Call call) {
+    return suspicions(call, parts.views().get())
+        .map(view -> view.standing(call.fingerprint()))
+        .orElse(Standing.CLEAR);
+  }
+
+  /** Names the engines that could run a suspect. */
+  List<String> engines(Call call, Set<String> tried) {
+    TrafficView view = parts.views().get();
+    return index.engines(view.config(), call.target()).stream()
+        .map(Backend::getName)
+        .filter(name -> isUsable(view, name, tried))
+        .toList();
+  }
+
+  private boolean isUsable(TrafficView view, String name, Set<String> tried) {
+    return !tried.contains(name) && !view.leavingBackends().contains(name) && !loads.isHeld(name);
+  }
+
+  private static Predicate<String> mayStart(Call call, TrafficView view) {
+    Optional<SuspicionView> suspicions = suspicions(call, view);
+    if (suspicions.isEmpty()) {
+      return name -> true;
+    }
+    String fingerprint = call.fingerprint();
+    return name -> suspicions.get().mayStart(fingerprint, name);
+  }
+
+  private static Optional<SuspicionView> suspicions(Call call, TrafficView view) {
+    return call.isForEngine() ? view.suspicions() : Optional.empty();
+  }
+
   Result<Address> address(Backend backend) {
     return index.address(backend);
   }
--- a/samphiregauge-daemon/src/test/java/io/samphiregauge/daemon/traffic/ResumeTest.java
+++ b/samphiregauge-daemon/src/test/java/io/samphiregauge/daemon/traffic/ResumeTest.java
@@ -3,10 +3,15 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.samphiregauge.core.suspect.Fingerprint;
+import io.samphiregauge.core.suspect.Suspicion;
+import io.samphiregauge.core.suspect.SuspicionEvent;
+import io.samphiregauge.core.suspect.SuspicionState;
 import io.samphiregauge.schema.standin.EngineFaults;
 import io.samphiregauge.schema.standin.EngineRecord;
 import io.samphiregauge.schema.standin.StreamEnding;
 import io.samphiregauge.standins.EngineStandin;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
@@ -91,6 +96,27 @@
     assertThat(second.record().getRequests()).hasSize(1);
   }
 
+  @Test
+  void keepsASuspectFromEnginesThatItMayNotHaveAlone() {
+    String fingerprint =
+        Fingerprint.of("t1", "POST /v1/completions", BODY.getBytes(StandardCharsets.UTF_8));
+    SuspicionState state =
+        Suspicion.apply(
+                SuspicionState.initial(entry.self),
+                new SuspicionEvent.Crashed("e9", List.of(fingerprint)),
+                0)
+            .state();
+    entry.suspect(state.view());
+    try (RawCaller caller = entry.caller()) {
+      RawCaller.Answer refused = caller.complete(BODY);
+      assertThat(refused.status()).isEqualTo(503);
+      assertThat(refused.body()).contains("no_engine_alone", "not_run");
+      assertThat(caller.complete(BODY.replace("u1", "u2")).status()).isEqualTo(200);
+    }
+    assertThat(first.record().getRequests().size() + second.record().getRequests().size())
+        .isEqualTo(1);
+  }
+
   /** Waits until the entry has passed on some tokens of the running stream. */
   private EngineStandin awaitTokens(int tokens) throws InterruptedException {
     long before = entry.outputTokens.get();
--- a/samphiregauge-daemon/src/test/java/io/samphiregauge/daemon/traffic/TestEntry.java
+++ b/samphiregauge-daemon/src/test/java/io/samphiregauge/daemon/traffic/TestEntry.java
@@ -8,6 +8,7 @@
 import io.samphiregauge.core.log.FoldStep;
 import io.samphiregauge.core.log.FoldedState;
 import io.samphiregauge.core.route.RoutingPolicies;
+import io.samphiregauge.core.suspect.SuspicionView;
 import io.samphiregauge.net.Address;
 import io.samphiregauge.net.Codec;
 import io.samphiregauge.schema.RecordBody;
@@ -27,6 +28,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -101,6 +103,18 @@
     publish(true);
   }
 
+  void suspect(SuspicionView suspicions) {
+    TrafficView now = view.get();
+    view.set(
+        new TrafficView(
+            now.state(),
+            now.fresh(),
+            now.ready(),
+            now.leavingBackends(),
+            now.leavingVms(),
+            Optional.of(suspicions)));
+  }
+
   void setFresh(boolean fresh) {
     publish(fresh);
   }
