Coordinate a process as one state machine over all parts

The first golden run showed a woken holder renewing a lease that it had lost (one needless append), so a lease agent no longer writes while it reads.

--- /dev/null
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/control/ControlState.java
@@ -0,0 +1,51 @@
+package io.samphiregauge.core.control;
+
+import io.samphiregauge.core.lease.LeaseAgent;
+import io.samphiregauge.core.log.Checkpoints;
+import io.samphiregauge.core.log.Freshness;
+import io.samphiregauge.core.log.LogReader;
+import io.samphiregauge.core.log.LogWriter;
+import io.samphiregauge.core.member.EndedWatch;
+import io.samphiregauge.core.member.Membership;
+import io.samphiregauge.core.member.OutageReports;
+import io.samphiregauge.core.order.Orderer;
+import io.samphiregauge.core.usage.UsageLedger;
+import io.samphiregauge.core.usage.UsageReporter;
+
+/** States of all parts of a coordinator; immutable. */
+record ControlState(
+    LogReader reader,
+    LogWriter writer,
+    Freshness freshness,
+    LeaseAgent fleet,
+    LeaseAgent usage,
+    Membership members,
+    OutageReports outage,
+    EndedWatch ended,
+    Orderer orderer,
+    UsageLedger ledger,
+    UsageReporter reporter,
+    Checkpoints checkpoints,
+    Relay relay,
+    Progress progress) {
+
+  /**
+   * How far the process is in its life.
+   *
+   * @param leaving whether it is about to end
+   * @param endWritten whether its own end was handed to the log writer
+   * @param endSeen whether its end was read in the log
+   * @param releasing whether a release of pieces is on its way
+   * @param tableWritten whether a piece table is on its way
+   * @param copyMs time of the next usage copy
+   * @param piecesMs time of the next look at the pieces
+   */
+  record Progress(
+      boolean leaving,
+      boolean endWritten,
+      boolean endSeen,
+      boolean releasing,
+      boolean tableWritten,
+      long copyMs,
+      long piecesMs) {}
+}
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/lease/LeaseAgent.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/lease/LeaseAgent.java
@@ -80,6 +80,10 @@
   public Step<LeaseAgent, LeaseAction> on(LeaseEvent event, long nowMs) {
     LeaseAgent seen = take(event, nowMs);
     Step<LeaseAgent, LeaseAction> announced = seen.announce(nowMs);
+    if (event instanceof LeaseEvent.Read || event instanceof LeaseEvent.Restored) {
+      // More records of the same page may follow; what is due is written at the next tick.
+      return announced;
+    }
     return announced.state().write(nowMs).after(announced.actions());
   }
 
@@ -126,7 +130,8 @@
       return withCandidacy(candidacy.wanted(), candidacy.delayMs());
     }
     if (event instanceof LeaseEvent.Restored restored) {
-      return withLast(restored.lease(), nowMs, validUntilMs, pending);
+      // Own records may be among those that were skipped, so none counts as held or pending.
+      return withLast(restored.lease(), nowMs, Long.MIN_VALUE, false);
     }
     return event instanceof LeaseEvent.Resign ? withResigned() : this;
   }
