--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Node.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Node.java
@@ -29,6 +29,7 @@
 
   final Incarnation self;
   final Vm vm;
+  final NodeMembers members;
   final NodeTraffic traffic;
   private final Deployment deployment;
   private final Seams seams;
@@ -50,13 +51,14 @@
     for (String role : Deployment.ROLES) {
       agents.put(role, LeaseAgent.of(role, self));
     }
+    this.members = new NodeMembers(this, deployment);
     this.traffic = new NodeTraffic(this, deployment);
   }
 
   void start() {
     deployment.world.trace(() -> vm.name + " starts as #" + self.getStartMs());
-    String address = vm.name + ":80";
-    writer = writer.write(new Joined(Deployment.REGION, vm.domain, address, vm.name + ":90"));
+    writer =
+        writer.write(new Joined(Deployment.REGION, vm.domain, vm.httpAddress(), vm.peerAddress()));
     tick();
   }
 
@@ -101,6 +103,7 @@
     agents.replaceAll((role, agent) -> runAgent(agent, new LeaseEvent.Tick()));
     runWriter(new LogWriter.Event.Tick());
     writeCheckpoint();
+    members.tick();
     traffic.tick();
     long nextMs = deployment.world.random.between(100, 300);
     deployment.world.in(nextMs, () -> vm.inProcess(this, this::tick));
@@ -200,7 +203,7 @@
   }
 
   private void append(LogWriter.Append append) {
-    if (!vm.reachesLog()) {
+    if (!vm.writesLog()) {
       return;
     }
     deployment.log.append(
@@ -208,11 +211,14 @@
         stored ->
             vm.inProcess(
                 this,
-                () ->
+                () -> {
+                  if (vm.reachesLog()) {
                     runWriter(
                         stored
                             ? new LogWriter.Event.Answered(append.call())
-                            : new LogWriter.Event.Failed(append.call()))));
+                            : new LogWriter.Event.Failed(append.call()));
+                  }
+                }));
   }
 
   private void writeCheckpoint() {
@@ -247,7 +253,7 @@
     }
     RecordsReply reply =
         state().upToOffset() > heldOffset
-            ? new RecordsReply(heldOffset, ageMs.getAsLong(), List.of(), state().toCheckpoint())
+            ? new RecordsReply(heldOffset, ageMs.getAsLong(), List.of(), state().toCheckpoint(), 0L)
             : new RecordsReply(heldOffset, ageMs.getAsLong(), List.of());
     long offset = state().upToOffset();
     deployment.net.send(
