--- a/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/ViewCommands.java
+++ b/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/ViewCommands.java
@@ -62,7 +62,8 @@
                 "log: next offset %d, note in force at offset %d"
                     .formatted(v.nextOffset(), v.state().noteOffset()),
             failure -> "log: " + failure.message());
-    return Report.of(message, log).with(entryTable(entries)).with(leaseTable(message.getLeases()));
+    Report report = Report.of(message, log).with(entryTable(entries));
+    return message.getLeases().isEmpty() ? report : report.with(leaseTable(message.getLeases()));
   }
 
   private static Table entryTable(List<EntryState> entries) {
--- /dev/null
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/LineFormatter.java
@@ -0,0 +1,57 @@
+package io.samphiregauge.net;
+
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.time.ZoneOffset;
+import java.time.format.DateTimeFormatter;
+import java.util.Optional;
+import java.util.logging.Formatter;
+import java.util.logging.LogRecord;
+
+/**
+ * Formats each log record as exactly one line, whatever the message holds. The binaries name this
+ * class in {@code config/logging.properties}.
+ */
+public final class LineFormatter extends Formatter {
+  private static final DateTimeFormatter TIME =
+      DateTimeFormatter.ofPattern("uuuu-MM-dd'T'HH:mm:ss.SSS'Z'").withZone(ZoneOffset.UTC);
+
+  @Override
+  public String format(LogRecord entry) {
+    StringBuilder line = new StringBuilder();
+    line.append(TIME.format(entry.getInstant()))
+        .append(" level=")
+        .append(entry.getLevel())
+        .append(" logger=")
+        .append(entry.getLoggerName())
+        .append(' ');
+    appendEscaped(line, formatMessage(entry));
+    Optional.ofNullable(entry.getThrown())
+        .ifPresent(
+            thrown -> {
+              line.append(" exception=\"");
+              appendEscaped(line, stackTrace(thrown));
+              line.append('"');
+            });
+    return line.append(System.lineSeparator()).toString();
+  }
+
+  /** Names from callers may hold line ends, which would forge another record. */
+  private static void appendEscaped(StringBuilder line, String text) {
+    for (int i = 0; i < text.length(); i++) {
+      char c = text.charAt(i);
+      switch (c) {
+        case '\n' -> line.append("\\n");
+        case '\r' -> line.append("\\r");
+        case '\t' -> line.append("\\t");
+        default -> line.append(Character.isISOControl(c) ? '?' : c);
+      }
+    }
+  }
+
+  private static String stackTrace(Throwable thrown) {
+    StringWriter text = new StringWriter();
+    thrown.printStackTrace(new PrintWriter(text));
+    return text.toString().strip();
+  }
+}
