--- a/samphiregauge-bench/src/main/java/io/samphiregauge/bench/RelayExperiment.java
+++ b/samphiregauge-bench/src/main/java/io/samphiregauge/bench/RelayExperiment.java
@@ -164,8 +164,7 @@
                 List.of(new Model("m1", List.of("1"), 1L, 1L)),
                 List.of(),
                 List.of(engine)));
-    FoldedState state =
-        FoldedState.of(config, Map.of());
+    FoldedState state = FoldedState.of(config, Map.of());
     TrafficView view = new TrafficView(state, true, true, Set.of(), Set.of());
     TrafficParts parts =
         new TrafficParts(
