--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/route/PlacementPolicies.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/route/PlacementPolicies.java
@@ -8,7 +8,6 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Predicate;
-import java.util.function.ToDoubleFunction;
 
 /** Placement policies by name, for the setting {@code routingPolicy}. */
 public final class PlacementPolicies {
@@ -18,6 +17,13 @@
   /** A split has to gain this share of the time, because the transfer may be late. */
   private static final double SPLIT_MARGIN = 0.05;
 
+  /**
+   * Many entries see one report at the same time. Each chooses at random among near-best engines,
+   * with a width that grows with the root of the number of entries: 8% of the best score at 8
+   * entries, 70% of it at 560.
+   */
+  private static final double HERD_PER_ROOT = 0.03;
+
   private static final Map<String, PlacementPolicy> BY_NAME =
       new TreeMap<>(
           Map.of(
@@ -49,12 +55,13 @@
   static Optional<Placement> predicted(
       PlacementRequest request, List<EngineView> candidates, RandomSource random) {
     Predicate<EngineView> free = e -> !request.alone() || e.sequences() == 0;
+    Choice choice = new Choice(candidates, HERD_PER_ROOT * Math.sqrt(request.entries()), random);
     Optional<EngineView> whole =
-        best(candidates, e -> free.test(e) && isMixed(e), e -> wholeScore(e, request));
+        choice.near(e -> free.test(e) && isMixed(e), e -> wholeScore(e, request));
     Optional<EngineView> prefill =
-        best(candidates, e -> free.test(e) && !isDecode(e), e -> prefillScore(e, request));
+        choice.near(e -> free.test(e) && !isDecode(e), e -> prefillScore(e, request));
     Optional<EngineView> decode =
-        best(candidates, e -> free.test(e) && !isPrefill(e), e -> decodeScore(e, request));
+        choice.near(e -> free.test(e) && !isPrefill(e), e -> decodeScore(e, request));
     Optional<Placement> one = whole.map(e -> whole(e, request, candidates.size(), "whole"));
     if (prefill.isEmpty() || decode.isEmpty() || prefill.equals(decode)) {
       return one;
@@ -74,10 +81,11 @@
   static Optional<Placement> leastLoad(
       PlacementRequest request, List<EngineView> candidates, RandomSource random) {
     Optional<EngineView> prefill =
-        best(candidates, e -> !isDecode(e), EngineView::queuedPrefillTokens);
-    Optional<EngineView> decode = best(candidates, e -> !isPrefill(e), EngineView::sequences);
+        new Choice(candidates, 0, random).near(e -> !isDecode(e), EngineView::queuedPrefillTokens);
+    Optional<EngineView> decode =
+        new Choice(candidates, 0, random).near(e -> !isPrefill(e), EngineView::sequences);
     Optional<EngineView> mixed =
-        best(candidates, PlacementPolicies::isMixed, PlacementPolicies::load);
+        new Choice(candidates, 0, random).near(PlacementPolicies::isMixed, PlacementPolicies::load);
     if (mixed.isPresent()) {
       return mixed.map(e -> whole(e, request, candidates.size(), "least_load"));
     }
@@ -96,25 +104,6 @@
     return leastLoad(request, List.of(first, second), random);
   }
 
-  private static Optional<EngineView> best(
-      List<EngineView> candidates,
-      Predicate<EngineView> suitable,
-      ToDoubleFunction<EngineView> score) {
-    EngineView best = null;
-    double least = Double.POSITIVE_INFINITY;
-    for (EngineView candidate : candidates) {
-      if (!suitable.test(candidate)) {
-        continue;
-      }
-      double value = score.applyAsDouble(candidate);
-      if (value < least) {
-        least = value;
-        best = candidate;
-      }
-    }
-    return Optional.ofNullable(best);
-  }
-
   private static double load(EngineView engine) {
     return engine.profile().workMs(engine.queuedPrefillTokens(), 0)
         + engine.sequences() * engine.profile().stepPerSequenceMs();
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/route/PlacementRequest.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/route/PlacementRequest.java
@@ -7,6 +7,7 @@
  * @param outputTokens expected length of the answer
  * @param failureDomain failure domain of the entry
  * @param alone whether the request must not share an engine with other work
+ * @param entries entries that send to the same engines and see the same reports
  */
 public record PlacementRequest(
-    int promptTokens, double outputTokens, String failureDomain, boolean alone) {}
+    int promptTokens, double outputTokens, String failureDomain, boolean alone, int entries) {}
--- a/samphiregauge-replay/src/main/java/io/samphiregauge/replay/SimEntry.java
+++ b/samphiregauge-replay/src/main/java/io/samphiregauge/replay/SimEntry.java
@@ -18,12 +18,20 @@
   final String failureDomain;
   final EngineBook book;
   final LengthForecast lengths = new LengthForecast();
+  private final int entries;
   private final PolicySet policy;
   private final VirtualTime time;
   private final RandomSource random;
   private boolean dead;
 
-  SimEntry(int number, String failureDomain, PolicySet policy, VirtualTime time, long seed) {
+  SimEntry(
+      int number,
+      String failureDomain,
+      int entries,
+      PolicySet policy,
+      VirtualTime time,
+      long seed) {
+    this.entries = entries;
     this.number = number;
     this.failureDomain = failureDomain;
     this.policy = policy;
@@ -47,7 +55,8 @@
             job.request.getPromptTokens() + job.emitted,
             Math.max(1, job.expectedOutput - job.emitted),
             failureDomain,
-            job.crashes > 0);
+            job.crashes > 0,
+            entries);
     return policy
         .placement()
         .place(
--- a/samphiregauge-replay/src/main/java/io/samphiregauge/replay/Simulation.java
+++ b/samphiregauge-replay/src/main/java/io/samphiregauge/replay/Simulation.java
@@ -37,7 +37,9 @@
     EngineProfile reference = reference(settings);
     List<String> domains = settings.getFailureDomains();
     for (int i = 0; i < settings.getEntries(); i++) {
-      SimEntry entry = new SimEntry(i, domains.get(i % domains.size()), policy, time, seed);
+      SimEntry entry =
+          new SimEntry(
+              i, domains.get(i % domains.size()), settings.getEntries(), policy, time, seed);
       entries.add(new SimTraffic(entry, time, settings, reference, fleet, meter, policy.queued()));
     }
     fleet.startAll(policy.initialRoles().apply(settings));
