--- /dev/null
+++ b/samphiregauge-bench/src/main/java/io/samphiregauge/bench/DecisionBenchmark.java
@@ -0,0 +1,91 @@
+package io.samphiregauge.bench;
+
+import io.samphiregauge.core.RandomSource;
+import io.samphiregauge.core.engine.EngineBook;
+import io.samphiregauge.core.engine.EngineProfile;
+import io.samphiregauge.core.engine.EngineReport;
+import io.samphiregauge.core.engine.PrefixIndex;
+import io.samphiregauge.core.route.Placement;
+import io.samphiregauge.core.route.PlacementPolicies;
+import io.samphiregauge.core.route.PlacementPolicy;
+import io.samphiregauge.core.route.PlacementRequest;
+import io.samphiregauge.schema.order.EngineRole;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/** Measures one routing decision: candidates, scores, and the note of what was sent. */
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+@Warmup(iterations = 3, time = 1)
+@Measurement(iterations = 5, time = 1)
+@Fork(3)
+@State(Scope.Benchmark)
+public class DecisionBenchmark {
+  private static final int KV_TOKENS = 160_000;
+  private static final int ENTRIES = 560;
+  private static final int PREFIXES = 2_000;
+  private static final int CHANGES_PER_REPORT = 64;
+
+  /** Engines in the book of the entry. */
+  @Param({"8", "310", "3100"})
+  public int engines;
+
+  private final SplittableRandom seeded = new SplittableRandom(5);
+  private final RandomSource random = seeded::nextLong;
+  private final PlacementPolicy policy =
+      PlacementPolicies.named(PlacementPolicies.PREDICTED).orElseThrow();
+  private EngineBook book;
+  private long nowMs;
+
+  /** Fills the book with engines of all roles and with prefixes. */
+  @Setup
+  public void fill() {
+    book = new EngineBook(new PrefixIndex(PREFIXES), true);
+    for (int i = 0; i < engines; i++) {
+      EngineProfile profile = EngineProfile.ofCapacity("e-" + i, "d-" + i % 4, false, 1_480);
+      book.join(profile, role(i), KV_TOKENS, 0.6);
+      book.report(report(i));
+    }
+    for (int i = 0; i < PREFIXES; i++) {
+      book.sentPrefix("e-" + seeded.nextInt(engines), "p-" + i);
+    }
+  }
+
+  /** Chooses engines for a request and notes it. */
+  @Benchmark
+  public Optional<Placement> route() {
+    nowMs++;
+    if (nowMs % CHANGES_PER_REPORT == 0) {
+      book.report(report((int) (nowMs / CHANGES_PER_REPORT % engines)));
+    }
+    String prefix = "p-" + seeded.nextInt(PREFIXES);
+    var request = new PlacementRequest(1_200, 80, "d-0", false, ENTRIES);
+    Optional<Placement> placement =
+        policy.place(request, book.candidates(prefix, 1_000, random), random);
+    placement
+        .flatMap(choice -> book.sent(choice.engine().name(), 200, 1_280, nowMs))
+        .ifPresent(sent -> book.finished(sent, nowMs));
+    return placement;
+  }
+
+  private EngineReport report(int i) {
+    int sequences = seeded.nextInt(40);
+    return new EngineReport("e-" + i, nowMs, role(i), true, 500, sequences, KV_TOKENS);
+  }
+
+  private static EngineRole role(int i) {
+    return i % 4 == 0 ? EngineRole.PREFILL : EngineRole.MIXED;
+  }
+}
--- /dev/null
+++ b/samphiregauge-bench/src/main/java/io/samphiregauge/bench/FairnessBenchmark.java
@@ -0,0 +1,55 @@
+package io.samphiregauge.bench;
+
+import io.samphiregauge.core.fair.FairQueue;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/** Measures one pick of the fair queue, with the request that takes the place of the picked one. */
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+@Warmup(iterations = 3, time = 1)
+@Measurement(iterations = 5, time = 1)
+@Fork(3)
+@State(Scope.Benchmark)
+public class FairnessBenchmark {
+  private static final int WAITING_PER_TEAM = 4;
+
+  /** Teams that all wait. */
+  @Param({"8", "1800"})
+  public int teams;
+
+  private final SplittableRandom seeded = new SplittableRandom(5);
+  private final FairQueue<Integer> queue = new FairQueue<>();
+
+  /** Lets all teams wait. */
+  @Setup
+  public void fill() {
+    for (int i = 0; i < teams * WAITING_PER_TEAM; i++) {
+      queue.offer("t-" + i % teams, 1 + i % 3, cost(), i);
+    }
+  }
+
+  /** Takes the next request and adds one to the same team. */
+  @Benchmark
+  public Optional<FairQueue.Waiting<Integer>> pick() {
+    Optional<FairQueue.Waiting<Integer>> next = queue.poll();
+    next.ifPresent(taken -> queue.offer(taken.team(), 1, cost(), taken.content()));
+    return next;
+  }
+
+  private double cost() {
+    return 10 + seeded.nextInt(400);
+  }
+}
--- a/samphiregauge-replay/src/main/java/io/samphiregauge/replay/SimJob.java
+++ b/samphiregauge-replay/src/main/java/io/samphiregauge/replay/SimJob.java
@@ -59,6 +59,17 @@
     return request.getPromptTokens() + request.getOutputTokens();
   }
 
+  /** Equal for a request that its caller sends again. */
+  String fingerprint() {
+    return String.join(
+        "/",
+        request.getTeam(),
+        request.getRoute(),
+        request.getPrefix(),
+        String.valueOf(request.getPromptTokens()),
+        String.valueOf(request.getOutputTokens()));
+  }
+
   boolean crashesEngines() {
     return request.getRoute().equals(RequestKind.CRASH.route());
   }
--- a/samphiregauge-replay/src/main/java/io/samphiregauge/replay/Simulation.java
+++ b/samphiregauge-replay/src/main/java/io/samphiregauge/replay/Simulation.java
@@ -11,6 +11,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 /** Runs one trace under one set of policies in virtual time. */
@@ -26,12 +27,15 @@
   private final Meter meter = new Meter();
   private final List<SimTraffic> entries = new ArrayList<>();
   private final List<SimJob> jobs = new ArrayList<>();
+  private final Map<String, Integer> crashesByRequest = new HashMap<>();
+  private final boolean queued;
   private final SimFleet fleet;
   private final FleetControl control;
 
   Simulation(Trace trace, ReplaySettings settings, PolicySet policy, long seed) {
     this.trace = trace;
     this.settings = settings;
+    this.queued = policy.queued();
     this.fleet = new SimFleet(time, settings, this, this::joined);
     this.control = new FleetControl(time, settings, policy, fleet, entries, meter);
     EngineProfile reference = reference(settings);
@@ -97,6 +101,7 @@
   public void finished(SimJob job) {
     long seenUs = time.nowUs() + settings.getDomainHopUs();
     boolean good = seenUs <= job.deadlineUs();
+    crashesByRequest.remove(job.fingerprint());
     entries.get(job.entry).finished(job, good ? SimJob.Outcome.GOOD : SimJob.Outcome.LATE);
   }
 
@@ -139,6 +144,12 @@
       jobs.set(job.number, current);
     }
     SimJob arrived = current;
+    arrived.crashes = queued ? crashesByRequest.getOrDefault(arrived.fingerprint(), 0) : 0;
+    if (arrived.crashes >= SimJob.MAX_CRASHES) {
+      meter.refused(arrived);
+      arrived.outcome = Optional.of(SimJob.Outcome.REFUSED);
+      return;
+    }
     entries.get(target).arrive(arrived);
     time.at(arrived.deadlineUs() + 1, () -> expire(arrived));
   }
@@ -197,7 +208,10 @@
     List<SimJob> lost = engine.end();
     entries.forEach(e -> e.entry().book.leave(engine.profile().name()));
     for (SimJob job : lost) {
-      job.crashes += crash ? 1 : 0;
+      if (crash) {
+        crashesByRequest.merge(job.fingerprint(), 1, Integer::sum);
+        job.crashes++;
+      }
       job.lostInReclaim |= !crash;
       SimTraffic entry = entries.get(job.entry);
       if (job.crashes >= SimJob.MAX_CRASHES) {
--- a/samphiregauge-replay/src/main/java/io/samphiregauge/replay/TraceWriter.java
+++ b/samphiregauge-replay/src/main/java/io/samphiregauge/replay/TraceWriter.java
@@ -50,9 +50,8 @@
       arrivals(phase, startMs, endMs, requests);
       startMs = endMs;
     }
-    for (long atMs : shape.crashesAtMs()) {
-      requests.add(request(scaled(atMs), 2, RequestKind.CRASH));
-    }
+    TraceRequest crash = request(0, 2, RequestKind.CRASH);
+    shape.crashesAtMs().forEach(atMs -> requests.add(sentAt(crash, scaled(atMs))));
     requests.sort(Comparator.comparingLong(TraceRequest::getAtMs));
     List<TraceEvent> events =
         shape.events().apply(settings.getFailureDomains()).stream()
@@ -124,6 +123,21 @@
         kind.deadlineMs());
   }
 
+  /** The same request, as its caller sends it again. */
+  private static TraceRequest sentAt(TraceRequest request, long atMs) {
+    return new TraceRequest(
+        atMs,
+        request.getTeam(),
+        request.getRoute(),
+        request.getModel(),
+        request.getPromptTokens(),
+        request.getOutputTokens(),
+        request.getPrefix(),
+        request.getPrefixTokens(),
+        request.isIdempotent(),
+        request.getDeadlineMs());
+  }
+
   private int varied(int mean) {
     double factor = 1 + LENGTH_SPREAD * (2 * random.nextDouble() - 1);
     return Math.max(1, (int) (mean * factor));
