--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/admit/RequestGate.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/admit/RequestGate.java
@@ -40,7 +40,7 @@
   private static final int MAX_TEAMS_TRIED = 4;
 
   /** Answers may be longer than expected, by 40% in the traces, and engines fill up meanwhile. */
-  private static final double PREDICTION_MARGIN = 1.3;
+  private static final double PREDICTION_MARGIN = 1.45;
 
   /** Time constant of the measured service rate. */
   private static final double RATE_MS = 5_000;
