Plant twelve faults, each of which an invariant catches

Each fault replaces one functional interface between the fakes and the state machines. Orders are given through the orderer of the coordination machines now.

--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Faults.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Faults.java
@@ -25,8 +25,8 @@
           new Kind("log_lost_answers", Faults::lostAnswers),
           new Kind("log_late_appends", Faults::lateAppends),
           new Kind("log_out_of_reach", Faults::logOutOfReach),
-          new Kind("log_flaps", deployment -> logFlaps(deployment, false)),
-          new Kind("log_one_way", deployment -> logFlaps(deployment, true)),
+          new Kind("log_flaps", Faults::logFlaps),
+          new Kind("log_one_way", Faults::logOneWay),
           new Kind("partition", Faults::partition),
           new Kind("loss", Faults::loss),
           new Kind("slow_and_twice", Faults::slowAndTwice),
@@ -97,19 +97,25 @@
   }
 
   /** The log comes back for a moment, in which a process reads but may not be able to write. */
-  private static void logFlaps(Deployment deployment, boolean appendsPass) {
+  private static void logFlaps(Deployment deployment) {
     Vm vm = anyVm(deployment);
     long firstMs = deployment.world.random.between(2_000, 7_000);
     long momentMs = deployment.world.random.between(20, 300);
     vm.setLogReachable(false);
-    if (appendsPass) {
-      vm.loseAnswersOfLog();
-    }
     deployment.world.in(firstMs, () -> vm.setLogReachable(true));
     deployment.world.in(firstMs + momentMs, () -> vm.setLogReachable(false));
     deployment.world.in(firstMs + momentMs + lastsMs(deployment), () -> vm.setLogReachable(true));
   }
 
+  /** Appends are stored unheard; later a process reads of them, but can append no more. */
+  private static void logOneWay(Deployment deployment) {
+    Vm vm = anyVm(deployment);
+    long firstMs = deployment.world.random.between(2_000, 7_000);
+    vm.setOneWayLog(true);
+    deployment.world.in(firstMs, () -> vm.setOneWayLog(false));
+    deployment.world.in(firstMs + lastsMs(deployment), () -> vm.setLogReachable(true));
+  }
+
   private static void partition(Deployment deployment) {
     Set<String> minority = new HashSet<>();
     minority.add(anyVm(deployment).name);
--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/LogInvariants.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/LogInvariants.java
@@ -6,6 +6,7 @@
 import io.samphiregauge.verify.Observation.KeyAccepted;
 import io.samphiregauge.verify.Observation.KeyWithdrawn;
 import io.samphiregauge.verify.Observation.NoteDue;
+import io.samphiregauge.verify.Observation.OrderApplied;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -22,6 +23,7 @@
   static final List<Invariant.Named> ALL =
       List.of(
           new Invariant.Named(3, "one_holder", () -> LogInvariants::oneHolder),
+          new Invariant.Named(1, "orders_in_sequence", LogInvariants::ordersInSequence),
           new Invariant.Named(12, "never_reverts", LogInvariants::neverReverts),
           new Invariant.Named(12, "in_force_in_time", () -> LogInvariants::inForce),
           new Invariant.Named(4, "withdrawn_key_refused", LogInvariants::withdrawnKeyRefused));
@@ -35,6 +37,22 @@
         : Optional.empty();
   }
 
+  /** An order that takes effect after a later one conflicts with it, or has lost its authority. */
+  private static Invariant ordersInSequence() {
+    Map<String, Long> highest = new HashMap<>();
+    return seen -> {
+      if (!(seen instanceof OrderApplied order)) {
+        return Optional.empty();
+      }
+      long before = highest.merge(order.target(), order.intentOffset(), Math::max);
+      return before > order.intentOffset()
+          ? Optional.of(
+              "%s applied order %d after order %d"
+                  .formatted(order.target(), order.intentOffset(), before))
+          : Optional.empty();
+    };
+  }
+
   private static Invariant neverReverts() {
     Map<Incarnation, Folded> last = new HashMap<>();
     return seen -> {
--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Node.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Node.java
@@ -30,6 +30,7 @@
   final Incarnation self;
   final Vm vm;
   final NodeMembers members;
+  private final NodeOrders orders;
   final NodeTraffic traffic;
   private final Deployment deployment;
   private final Seams seams;
@@ -51,6 +52,7 @@
     for (String role : Deployment.ROLES) {
       agents.put(role, LeaseAgent.of(role, self));
     }
+    this.orders = new NodeOrders(this, deployment);
     this.members = new NodeMembers(this, deployment);
     this.traffic = new NodeTraffic(this, deployment);
   }
@@ -104,6 +106,7 @@
     runWriter(new LogWriter.Event.Tick());
     writeCheckpoint();
     members.tick();
+    orders.tick();
     traffic.tick();
     long nextMs = deployment.world.random.between(100, 300);
     deployment.world.in(nextMs, () -> vm.inProcess(this, this::tick));
@@ -182,6 +185,7 @@
       checkpoints = checkpoints.seen(checkpoint, own);
     }
     if (own) {
+      orders.read(entry);
       runWriter(new LogWriter.Event.ReadBack(entry.getSequence()));
     }
   }
