--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Deployment.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Deployment.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /** Five entries in three failure domains, their engines, services, log and network. */
 final class Deployment {
@@ -32,6 +33,7 @@
   final Seams seams;
   final LogFake log;
   final NetFake net;
+  final UsageFake usage;
   final List<Vm> vms = new ArrayList<>();
   final List<EngineFake> engines = new ArrayList<>();
   final List<ServiceFake> services = new ArrayList<>();
@@ -42,6 +44,7 @@
     this.seams = seams;
     this.log = new LogFake(world);
     this.net = new NetFake(world);
+    this.usage = new UsageFake(world);
     for (int i = 0; i < VMS; i++) {
       vms.add(new Vm("vm" + i, "d" + i % DOMAINS, this));
     }
@@ -129,6 +132,21 @@
     }
   }
 
+  /** Shows the invariants a piece that a process uses although another one uses it, too. */
+  void observePieces(Node node) {
+    Set<Integer> used = node.pieces.used();
+    for (Vm vm : vms) {
+      Optional<Node> other = vm.running().filter(n -> n != node);
+      Set<Integer> both = other.map(n -> n.pieces.used()).orElseGet(Set::of);
+      both.stream()
+          .filter(used::contains)
+          .findFirst()
+          .ifPresent(
+              piece ->
+                  world.observe(new Observation.PieceShared(piece, node.self, other.get().self)));
+    }
+  }
+
   private static List<Incarnation> append(List<Incarnation> holders, Incarnation next) {
     List<Incarnation> more = new ArrayList<>(holders);
     more.add(next);
--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Faults.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Faults.java
@@ -21,6 +21,7 @@
           new Kind("kill", deployment -> anyVm(deployment).restart()),
           new Kind("kill_domain", Faults::killDomain),
           new Kind("pause", deployment -> anyVm(deployment).pause(lastsMs(deployment))),
+          new Kind("long_pause", deployment -> anyVm(deployment).pause(longMs(deployment))),
           new Kind("log_down", Faults::logDown),
           new Kind("log_lost_answers", Faults::lostAnswers),
           new Kind("log_late_appends", Faults::lateAppends),
@@ -70,6 +71,11 @@
     return deployment.world.random.between(200, 16_000);
   }
 
+  /** Longer than it takes to record the end of a process. */
+  private static long longMs(Deployment deployment) {
+    return deployment.world.random.between(26_000, 36_000);
+  }
+
   private static void killDomain(Deployment deployment) {
     String domain = anyVm(deployment).domain;
     deployment.vms.stream().filter(vm -> vm.domain.equals(domain)).forEach(Vm::restart);
--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/LogInvariants.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/LogInvariants.java
@@ -1,12 +1,16 @@
 package io.samphiregauge.verify;
 
+import io.samphiregauge.schema.platform.UsageReport;
 import io.samphiregauge.schema.record.Incarnation;
+import io.samphiregauge.schema.record.UsageFigure;
 import io.samphiregauge.verify.Observation.Folded;
 import io.samphiregauge.verify.Observation.Held;
 import io.samphiregauge.verify.Observation.KeyAccepted;
 import io.samphiregauge.verify.Observation.KeyWithdrawn;
 import io.samphiregauge.verify.Observation.NoteDue;
 import io.samphiregauge.verify.Observation.OrderApplied;
+import io.samphiregauge.verify.Observation.PieceShared;
+import io.samphiregauge.verify.Observation.ReportArrived;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,6 +28,8 @@
       List.of(
           new Invariant.Named(3, "one_holder", () -> LogInvariants::oneHolder),
           new Invariant.Named(1, "orders_in_sequence", LogInvariants::ordersInSequence),
+          new Invariant.Named(6, "one_figure_per_window", LogInvariants::oneFigure),
+          new Invariant.Named(0, "one_user_per_piece", () -> LogInvariants::oneUser),
           new Invariant.Named(12, "never_reverts", LogInvariants::neverReverts),
           new Invariant.Named(12, "in_force_in_time", () -> LogInvariants::inForce),
           new Invariant.Named(4, "withdrawn_key_refused", LogInvariants::withdrawnKeyRefused));
@@ -53,6 +59,42 @@
     };
   }
 
+  private static Invariant oneFigure() {
+    Map<Long, UsageReport> first = new HashMap<>();
+    return seen -> {
+      if (!(seen instanceof ReportArrived arrived)) {
+        return Optional.empty();
+      }
+      UsageReport report = arrived.report();
+      return Optional.ofNullable(first.putIfAbsent(report.getWindow(), report))
+          .filter(before -> !before.equals(report))
+          .map(
+              before ->
+                  "window %d was reported under the keys %d and %d, with the figures %s and %s"
+                      .formatted(
+                          report.getWindow(),
+                          before.getIdempotencyKey(),
+                          report.getIdempotencyKey(),
+                          requests(before),
+                          requests(report)));
+    };
+  }
+
+  private static long requests(UsageReport report) {
+    return report.getFigures().stream().mapToLong(UsageFigure::getRequests).sum();
+  }
+
+  private static Optional<String> oneUser(Observation seen) {
+    return seen instanceof PieceShared shared
+        ? Optional.of(
+            "piece %d is used by %s and %s"
+                .formatted(
+                    shared.piece(),
+                    Observation.name(shared.first()),
+                    Observation.name(shared.second())))
+        : Optional.empty();
+  }
+
   private static Invariant neverReverts() {
     Map<Incarnation, Folded> last = new HashMap<>();
     return seen -> {
--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Node.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Node.java
@@ -30,6 +30,8 @@
   final Incarnation self;
   final Vm vm;
   final NodeMembers members;
+  final NodeUsage usage;
+  final NodePieces pieces;
   private final NodeOrders orders;
   final NodeTraffic traffic;
   private final Deployment deployment;
@@ -52,6 +54,8 @@
     for (String role : Deployment.ROLES) {
       agents.put(role, LeaseAgent.of(role, self));
     }
+    this.pieces = new NodePieces(this, deployment);
+    this.usage = new NodeUsage(this, deployment);
     this.orders = new NodeOrders(this, deployment);
     this.members = new NodeMembers(this, deployment);
     this.traffic = new NodeTraffic(this, deployment);
@@ -106,7 +110,11 @@
     runWriter(new LogWriter.Event.Tick());
     writeCheckpoint();
     members.tick();
+    members.outageMs().ifPresent(ms -> freshness = freshness.withOutage(ms));
+    pieces.tick();
     orders.tick();
+    usage.tick();
+    deployment.observePieces(this);
     traffic.tick();
     long nextMs = deployment.world.random.between(100, 300);
     deployment.world.in(nextMs, () -> vm.inProcess(this, this::tick));
@@ -184,8 +192,10 @@
     if (entry.getBody() instanceof Checkpoint checkpoint) {
       checkpoints = checkpoints.seen(checkpoint, own);
     }
+    usage.read(entry, own, folded.accepted());
     if (own) {
       orders.read(entry);
+      pieces.read(entry);
       runWriter(new LogWriter.Event.ReadBack(entry.getSequence()));
     }
   }
--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/NodeMembers.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/NodeMembers.java
@@ -5,13 +5,17 @@
 import io.samphiregauge.core.member.MemberAction;
 import io.samphiregauge.core.member.MemberEvent;
 import io.samphiregauge.core.member.Membership;
+import io.samphiregauge.core.member.OutageReports;
 import io.samphiregauge.core.suspect.SuspicionEvent;
 import io.samphiregauge.schema.PeerMessage;
 import io.samphiregauge.schema.peer.Member;
 import io.samphiregauge.schema.peer.MemberState;
+import io.samphiregauge.schema.peer.OutageQuery;
+import io.samphiregauge.schema.peer.OutageReport;
 import io.samphiregauge.schema.record.Incarnation;
 import io.samphiregauge.schema.record.ProcessState;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -21,6 +25,7 @@
   private final Node node;
   private final Deployment deployment;
   private Membership membership;
+  private OutageReports outage;
 
   NodeMembers(Node node, Deployment deployment) {
     this.node = node;
@@ -36,10 +41,26 @@
             0,
             -1,
             -1);
+    this.outage = OutageReports.of(node.vm.name);
     this.membership =
         Membership.of(self, deployment.vms.stream().map(Vm::peerAddress).toList(), node.nowMs());
   }
 
+  private OutageReports.View outageView() {
+    List<Incarnation> processes =
+        node.state().processes().values().stream()
+            .filter(process -> !process.isEnded())
+            .map(ProcessState::getIncarnation)
+            .toList();
+    return new OutageReports.View(
+        node.state().upToOffset(), processes, node.freshness().ownContactMs());
+  }
+
+  /** Returns the time of the oldest report in a majority without log contact. */
+  OptionalLong outageMs() {
+    return outage.majorityMs(outageView(), node.nowMs());
+  }
+
   Membership view() {
     return membership;
   }
@@ -48,6 +69,10 @@
     OptionalLong contactMs = node.freshness().ownContactMs();
     apply(new MemberEvent.Progress(node.state().upToOffset(), contactMs));
     apply(new MemberEvent.Tick());
+    Step<OutageReports, MemberAction> asked =
+        outage.tick(outageView(), membership.live(), node.nowMs(), deployment.world.random);
+    outage = asked.state();
+    asked.actions().forEach(this::send);
   }
 
   /** Returns the other processes that serve, and those that may serve out of reach. */
@@ -66,20 +91,32 @@
     return new SuspicionEvent.LiveMembers(live, doubtful);
   }
 
-  private void receive(PeerMessage message) {
-    apply(new MemberEvent.Received(message));
+  private void receive(Vm from, PeerMessage message) {
+    if (message instanceof OutageQuery query) {
+      OutageReport report = outage.answer(query, node.self, outageView(), node.nowMs());
+      send(from, report);
+    } else if (message instanceof OutageReport report) {
+      outage = outage.received(report, outageView());
+    } else {
+      apply(new MemberEvent.Received(message));
+    }
   }
 
   private void apply(MemberEvent event) {
     Step<Membership, MemberAction> step =
         membership.on(event, node.nowMs(), deployment.world.random);
     membership = step.state();
-    for (MemberAction action : step.actions()) {
-      if (action instanceof MemberAction.Send send) {
-        Optional<Vm> target = deployment.vmAtPeerAddress(send.peerAddress());
-        target.ifPresent(
-            vm -> deployment.net.send(node.vm, vm, there -> there.members.receive(send.message())));
-      }
+    step.actions().forEach(this::send);
+  }
+
+  private void send(MemberAction action) {
+    if (action instanceof MemberAction.Send send) {
+      Optional<Vm> target = deployment.vmAtPeerAddress(send.peerAddress());
+      target.ifPresent(vm -> send(vm, send.message()));
     }
   }
+
+  private void send(Vm to, PeerMessage message) {
+    deployment.net.send(node.vm, to, there -> there.members.receive(node.vm, message));
+  }
 }
--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/NodeSuspicion.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/NodeSuspicion.java
@@ -138,6 +138,7 @@
       run.proven = true;
     } else if (progress == EngineFake.Progress.FINISHED) {
       runs.remove(run);
+      node.usage.count();
       apply(new SuspicionEvent.Finished(run.call.fingerprint(), true));
       run.answer.accept(Result.DONE);
     } else if (!run.crashed) {
--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Observation.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Observation.java
@@ -2,6 +2,7 @@
 
 import io.samphiregauge.core.ticket.TicketReply;
 import io.samphiregauge.schema.EngineOrder;
+import io.samphiregauge.schema.platform.UsageReport;
 import io.samphiregauge.schema.record.Incarnation;
 import java.util.List;
 import java.util.Optional;
@@ -49,11 +50,8 @@
   record OrderApplied(String target, long intentOffset, EngineOrder order) implements Observation {}
 
   /** The usage interface has got a report. */
-  record ReportArrived(String window, long key, String figures) implements Observation {}
+  record ReportArrived(UsageReport report) implements Observation {}
 
-  /** An entry uses pieces, by its own view. */
-  record PiecesUsed(Incarnation by, List<Integer> pieces) implements Observation {}
-
-  /** An entry gave new work to a backend server that is leaving since a time. */
-  record WorkOnLeaving(Incarnation by, String backend, long sinceSignalMs) implements Observation {}
+  /** Two entries use a piece at the same moment, each by its own view. */
+  record PieceShared(int piece, Incarnation first, Incarnation second) implements Observation {}
 }
--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Schedule.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Schedule.java
@@ -7,7 +7,7 @@
 
 /** One schedule: everything in it follows from the seed. */
 final class Schedule {
-  private static final long LENGTH_MS = 40_000;
+  private static final long LENGTH_MS = 45_000;
 
   static final List<Invariant.Named> INVARIANTS = invariants();
 
--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Seams.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Seams.java
@@ -5,6 +5,7 @@
 import io.samphiregauge.core.log.FoldedState;
 import io.samphiregauge.core.log.Freshness;
 import io.samphiregauge.core.log.LogReader;
+import io.samphiregauge.core.member.EndedWatch;
 import io.samphiregauge.core.result.Failure;
 import io.samphiregauge.core.result.Result;
 import io.samphiregauge.core.suspect.SuspicionView;
@@ -38,6 +39,7 @@
   Retry retry = TicketBook::mayRetry;
   Reply reply = decided -> decided;
   Start start = SuspicionView::mayStart;
+  Gone gone = EndedWatch::isGone;
   Fencing fencing = (highestSeen, fencingToken) -> fencingToken >= highestSeen;
 
   /** Folds a page of the log. */
@@ -112,6 +114,12 @@
     boolean mayStart(SuspicionView view, String fingerprint, String engine);
   }
 
+  /** Tells whether a process can use its pieces no more. */
+  @FunctionalInterface
+  interface Gone {
+    boolean isGone(EndedWatch watch, Incarnation process, long nowMs);
+  }
+
   /** Tells whether an engine that checks fencing tokens takes an order. */
   @FunctionalInterface
   interface Fencing {
--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Vm.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Vm.java
@@ -11,6 +11,9 @@
 
   private static final long RESTART_MS = 300;
 
+  /** A usage window ends 12 s after the start of a schedule. */
+  private static final long FIRST_WALL_MS = 48_000;
+
   final String name;
   final String domain;
   private final Deployment deployment;
@@ -37,6 +40,11 @@
     return origin + (long) (deployment.world.nowMs() * rate);
   }
 
+  /** Returns the time of day, which the VMs agree on well enough for usage windows. */
+  long wallMs() {
+    return FIRST_WALL_MS + deployment.world.nowMs();
+  }
+
   String httpAddress() {
     return name + ":80";
   }
