--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/member/EndedWatch.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/member/EndedWatch.java
@@ -19,11 +19,13 @@
  * @param deadSinceMs since when each process has been confirmed dead without a break
  * @param writtenMs when the end of a process was last handed to the log writer
  * @param endedSinceMs when this process learnt of each end
+ * @param sequences sequence number of the last record of each process that has not ended
  */
 public record EndedWatch(
     Map<Incarnation, Long> deadSinceMs,
     Map<Incarnation, Long> writtenMs,
-    Map<Incarnation, Long> endedSinceMs) {
+    Map<Incarnation, Long> endedSinceMs,
+    Map<Incarnation, Long> sequences) {
 
   /** Time for which a process is confirmed dead before its end is recorded. */
   public static final long DEAD_MS = 2 * Freshness.SELF_FENCE_MS;
@@ -41,6 +43,7 @@
     deadSinceMs = Collections.unmodifiableMap(new LinkedHashMap<>(deadSinceMs));
     writtenMs = Collections.unmodifiableMap(new LinkedHashMap<>(writtenMs));
     endedSinceMs = Collections.unmodifiableMap(new LinkedHashMap<>(endedSinceMs));
+    sequences = Collections.unmodifiableMap(new LinkedHashMap<>(sequences));
   }
 
   /**
@@ -49,7 +52,7 @@
    * @return the watch
    */
   public static EndedWatch none() {
-    return new EndedWatch(Map.of(), Map.of(), Map.of());
+    return new EndedWatch(Map.of(), Map.of(), Map.of(), Map.of());
   }
 
   /**
@@ -71,7 +74,7 @@
     if (hearsFromMajority(processes, members)) {
       for (Incarnation process : processes) {
         if (isSilent(process, members)) {
-          dead.put(process, deadSinceMs.getOrDefault(process, nowMs));
+          dead.put(process, hasWritten(process, state) ? nowMs : deadSince(process, nowMs));
         }
       }
     }
@@ -84,7 +87,9 @@
             ends.add(new Ended(process, token.getAsLong()));
           }
         });
-    return new Step<>(new EndedWatch(dead, written, endedSince(state, nowMs)), ends);
+    Map<Incarnation, Long> last = new LinkedHashMap<>();
+    processes.forEach(process -> last.put(process, sequence(process, state)));
+    return new Step<>(new EndedWatch(dead, written, endedSince(state, nowMs), last), ends);
   }
 
   /**
@@ -129,6 +134,22 @@
         .toList();
   }
 
+  private long deadSince(Incarnation process, long nowMs) {
+    return deadSinceMs.getOrDefault(process, nowMs);
+  }
+
+  /**
+   * A record is a sign of life. Gossip may call a process dead for up to 30 s after a partition has
+   * healed, while the process still holds leases and gives orders.
+   */
+  private boolean hasWritten(Incarnation process, FoldedState state) {
+    return sequences.getOrDefault(process, Long.MIN_VALUE) != sequence(process, state);
+  }
+
+  private static long sequence(Incarnation process, FoldedState state) {
+    return state.process(process.getVm()).map(ProcessState::getSequence).orElse(0L);
+  }
+
   /** Only holders of pieces matter; the others are forgotten. */
   private Map<Incarnation, Long> endedSince(FoldedState state, long nowMs) {
     Map<Incarnation, Long> ended = new LinkedHashMap<>();
--- /dev/null
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/member/EndedWatchTest.java
@@ -0,0 +1,82 @@
+package io.samphiregauge.core.member;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.samphiregauge.core.Step;
+import io.samphiregauge.core.log.Fold;
+import io.samphiregauge.core.log.FoldedState;
+import io.samphiregauge.schema.RecordBody;
+import io.samphiregauge.schema.peer.Member;
+import io.samphiregauge.schema.peer.MemberState;
+import io.samphiregauge.schema.peer.Probe;
+import io.samphiregauge.schema.record.Ended;
+import io.samphiregauge.schema.record.Incarnation;
+import io.samphiregauge.schema.record.Joined;
+import io.samphiregauge.schema.record.LeaseClaim;
+import io.samphiregauge.schema.record.LogRecord;
+import java.util.List;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Test;
+
+class EndedWatchTest {
+  private static final String REGION = "luzon";
+  private static final Incarnation SELF = new Incarnation("a", 1, 1);
+  private static final Incarnation HEARD = new Incarnation("b", 1, 1);
+  private static final Incarnation SILENT = new Incarnation("c", 1, 1);
+
+  private FoldedState state = FoldedState.empty();
+  private EndedWatch watch = EndedWatch.none();
+  private final Membership members =
+      Membership.of(member(SELF), List.of(), 0)
+          .on(new MemberEvent.Received(new Probe(1, member(HEARD), List.of())), 0, () -> 0)
+          .state();
+
+  /** Guards against a process that stays in the log after its death. */
+  @Test
+  void aProcessThatStaysSilentEnds() {
+    joinAll();
+    assertThat(look(0)).isEmpty();
+    assertThat(look(19_999)).isEmpty();
+    assertThat(look(20_000)).extracting(Ended::getIncarnation).containsExactly(SILENT);
+  }
+
+  /**
+   * Guards against the end of a holder that gossip still calls dead after a partition; seed 408 of
+   * the fault schedules found it.
+   */
+  @Test
+  void aRecordIsASignOfLife() {
+    joinAll();
+    look(0);
+    append(SILENT, 2, new LeaseClaim("fleet/luzon", -1, 10_000));
+    assertThat(look(15_000)).isEmpty();
+    assertThat(look(34_999)).isEmpty();
+    assertThat(look(35_000)).extracting(Ended::getIncarnation).containsExactly(SILENT);
+  }
+
+  private void joinAll() {
+    for (Incarnation process : List.of(SELF, HEARD, SILENT)) {
+      append(process, 1, new Joined(REGION, "d1", address(process), address(process)));
+    }
+  }
+
+  private void append(Incarnation writer, long sequence, RecordBody body) {
+    LogRecord entry = new LogRecord(writer, sequence, body);
+    state = Fold.apply(state, state.upToOffset() + 1, entry).state();
+  }
+
+  private List<Ended> look(long nowMs) {
+    Step<EndedWatch, Ended> step = watch.look(state, REGION, members, OptionalLong.of(9), nowMs);
+    watch = step.state();
+    return step.actions();
+  }
+
+  private static String address(Incarnation process) {
+    return process.getVm() + ":1";
+  }
+
+  private static Member member(Incarnation process) {
+    return new Member(
+        process, REGION, "d1", address(process), address(process), MemberState.ALIVE, 0, -1, -1);
+  }
+}
