--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/NodeMembers.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/NodeMembers.java
@@ -58,7 +58,9 @@
 
   /** Returns the time of the oldest report in a majority without log contact. */
   OptionalLong outageMs() {
-    return outage.majorityMs(outageView(), node.nowMs());
+    return node.hasRecentLogContact()
+        ? OptionalLong.empty()
+        : outage.majorityMs(outageView(), node.nowMs());
   }
 
   Membership view() {
@@ -68,7 +70,12 @@
   void tick() {
     OptionalLong contactMs = node.freshness().ownContactMs();
     apply(new MemberEvent.Progress(node.state().upToOffset(), contactMs));
-    apply(new MemberEvent.Tick());
+    if (node.nowMs() >= membership.deadlineMs()) {
+      apply(new MemberEvent.Tick());
+    }
+    if (node.hasRecentLogContact()) {
+      return;
+    }
     Step<OutageReports, MemberAction> asked =
         outage.tick(outageView(), membership.live(), node.nowMs(), deployment.world.random);
     outage = asked.state();
