--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Faults.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Faults.java
@@ -21,12 +21,13 @@
           new Kind("kill", deployment -> anyVm(deployment).restart()),
           new Kind("kill_domain", Faults::killDomain),
           new Kind("pause", deployment -> anyVm(deployment).pause(lastsMs(deployment))),
+          new Kind("long_pause", deployment -> anyVm(deployment).pause(longMs(deployment))),
           new Kind("log_down", Faults::logDown),
           new Kind("log_lost_answers", Faults::lostAnswers),
           new Kind("log_late_appends", Faults::lateAppends),
           new Kind("log_out_of_reach", Faults::logOutOfReach),
-          new Kind("log_flaps", deployment -> logFlaps(deployment, false)),
-          new Kind("log_one_way", deployment -> logFlaps(deployment, true)),
+          new Kind("log_flaps", Faults::logFlaps),
+          new Kind("log_one_way", Faults::logOneWay),
           new Kind("partition", Faults::partition),
           new Kind("loss", Faults::loss),
           new Kind("slow_and_twice", Faults::slowAndTwice),
@@ -70,6 +71,11 @@
     return deployment.world.random.between(200, 16_000);
   }
 
+  /** Longer than it takes to record the end of a process. */
+  private static long longMs(Deployment deployment) {
+    return deployment.world.random.between(26_000, 36_000);
+  }
+
   private static void killDomain(Deployment deployment) {
     String domain = anyVm(deployment).domain;
     deployment.vms.stream().filter(vm -> vm.domain.equals(domain)).forEach(Vm::restart);
@@ -97,19 +103,25 @@
   }
 
   /** The log comes back for a moment, in which a process reads but may not be able to write. */
-  private static void logFlaps(Deployment deployment, boolean appendsPass) {
+  private static void logFlaps(Deployment deployment) {
     Vm vm = anyVm(deployment);
     long firstMs = deployment.world.random.between(2_000, 7_000);
     long momentMs = deployment.world.random.between(20, 300);
     vm.setLogReachable(false);
-    if (appendsPass) {
-      vm.loseAnswersOfLog();
-    }
     deployment.world.in(firstMs, () -> vm.setLogReachable(true));
     deployment.world.in(firstMs + momentMs, () -> vm.setLogReachable(false));
     deployment.world.in(firstMs + momentMs + lastsMs(deployment), () -> vm.setLogReachable(true));
   }
 
+  /** Appends are stored unheard; later a process reads of them, but can append no more. */
+  private static void logOneWay(Deployment deployment) {
+    Vm vm = anyVm(deployment);
+    long firstMs = deployment.world.random.between(2_000, 7_000);
+    vm.setOneWayLog(true);
+    deployment.world.in(firstMs, () -> vm.setOneWayLog(false));
+    deployment.world.in(firstMs + lastsMs(deployment), () -> vm.setLogReachable(true));
+  }
+
   private static void partition(Deployment deployment) {
     Set<String> minority = new HashSet<>();
     minority.add(anyVm(deployment).name);
