--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Node.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/Node.java
@@ -9,6 +9,7 @@
 import io.samphiregauge.core.log.Freshness;
 import io.samphiregauge.core.log.LogReader;
 import io.samphiregauge.core.log.LogWriter;
+import io.samphiregauge.core.member.OutageReports;
 import io.samphiregauge.schema.RecordBody;
 import io.samphiregauge.schema.peer.RecordsReply;
 import io.samphiregauge.schema.platform.RecordsPage;
@@ -30,6 +31,9 @@
   final Incarnation self;
   final Vm vm;
   final NodeMembers members;
+  final NodeUsage usage;
+  final NodePieces pieces;
+  private final NodeOrders orders;
   final NodeTraffic traffic;
   private final Deployment deployment;
   private final Seams seams;
@@ -51,6 +55,9 @@
     for (String role : Deployment.ROLES) {
       agents.put(role, LeaseAgent.of(role, self));
     }
+    this.pieces = new NodePieces(this, deployment);
+    this.usage = new NodeUsage(this, deployment);
+    this.orders = new NodeOrders(this, deployment);
     this.members = new NodeMembers(this, deployment);
     this.traffic = new NodeTraffic(this, deployment);
   }
@@ -78,8 +85,16 @@
     return freshness;
   }
 
+  /** Tells whether keyed requests may run; not once the process has read of its own end. */
   boolean isFresh() {
-    return caughtUpOnce && seams.freshCheck.isFresh(freshness, nowMs());
+    boolean serves = caughtUpOnce && state().isLive(self);
+    return serves && seams.freshCheck.isFresh(freshness, nowMs());
+  }
+
+  /** Tells whether no question about an outage is due. */
+  boolean hasRecentLogContact() {
+    OptionalLong ageMs = freshness.ownContactAgeMs(nowMs());
+    return ageMs.isPresent() && ageMs.getAsLong() <= OutageReports.LOST_CONTACT_MS;
   }
 
   /** Returns the fencing token under which this process may act now. */
@@ -104,8 +119,12 @@
     runWriter(new LogWriter.Event.Tick());
     writeCheckpoint();
     members.tick();
+    members.outageMs().ifPresent(ms -> freshness = freshness.withOutage(ms));
+    pieces.tick();
+    orders.tick();
+    usage.tick();
     traffic.tick();
-    long nextMs = deployment.world.random.between(100, 300);
+    long nextMs = deployment.world.random.between(150, 350);
     deployment.world.in(nextMs, () -> vm.inProcess(this, this::tick));
   }
 
@@ -181,7 +200,10 @@
     if (entry.getBody() instanceof Checkpoint checkpoint) {
       checkpoints = checkpoints.seen(checkpoint, own);
     }
+    usage.read(entry, own, folded.accepted());
     if (own) {
+      orders.read(entry);
+      pieces.read(entry);
       runWriter(new LogWriter.Event.ReadBack(entry.getSequence()));
     }
   }
