--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/control/Coordinator.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/control/Coordinator.java
@@ -135,10 +135,11 @@
    * Tells whether keyed requests may be served.
    *
    * @param nowMs current time
-   * @return true while the process has joined, has not ended, and its state is fresh
+   * @return true while the state is fresh and the process has not ended; a process that starts in
+   *     an outage of the log serves before it can join
    */
   public boolean mayServe(long nowMs) {
-    return state().isLive(entrant.self()) && parts.freshness().isFresh(nowMs);
+    return !state().hasEnded(entrant.self()) && parts.freshness().isFresh(nowMs);
   }
 
   /**
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/HttpCaller.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/HttpCaller.java
@@ -24,6 +24,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 /** Makes whole HTTP calls to the platform, one connection a call. */
 public final class HttpCaller {
@@ -50,7 +51,7 @@
    * @return the body of a 2xx answer, or the failure
    */
   public CompletableFuture<Result<byte[]>> get(Address address, String path, int timeoutMs) {
-    return send(address, HttpMethod.GET, path, new byte[0], timeoutMs);
+    return send(address, HttpMethod.GET, path, new byte[0], timeoutMs, () -> true);
   }
 
   /**
@@ -64,11 +65,31 @@
    */
   public CompletableFuture<Result<byte[]>> post(
       Address address, String path, byte[] json, int timeoutMs) {
-    return send(address, HttpMethod.POST, path, json, timeoutMs);
+    return send(address, HttpMethod.POST, path, json, timeoutMs, () -> true);
+  }
+
+  /**
+   * Sends a POST request with a JSON body, if it is still allowed once the connection stands.
+   *
+   * @param address address of the server
+   * @param path path and query
+   * @param json body
+   * @param timeoutMs longest silence before the call fails
+   * @param mayWrite asked at the last step before the socket write
+   * @return the body of a 2xx answer, or the failure
+   */
+  public CompletableFuture<Result<byte[]>> postIf(
+      Address address, String path, byte[] json, int timeoutMs, BooleanSupplier mayWrite) {
+    return send(address, HttpMethod.POST, path, json, timeoutMs, mayWrite);
   }
 
   private CompletableFuture<Result<byte[]>> send(
-      Address address, HttpMethod method, String path, byte[] body, int timeoutMs) {
+      Address address,
+      HttpMethod method,
+      String path,
+      byte[] body,
+      int timeoutMs,
+      BooleanSupplier mayWrite) {
     CompletableFuture<Result<byte[]>> answer = new CompletableFuture<>();
     Bootstrap bootstrap =
         new Bootstrap()
@@ -92,7 +113,10 @@
         .connect(address.toSocketAddress())
         .addListener(
             (ChannelFuture connected) -> {
-              if (connected.isSuccess()) {
+              if (connected.isSuccess() && !mayWrite.getAsBoolean()) {
+                answer.complete(Result.failed(new NetFailure.Withheld(address.toString())));
+                connected.channel().close();
+              } else if (connected.isSuccess()) {
                 write(connected.channel(), address, method, path, body);
               } else {
                 answer.complete(
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/NetFailure.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/NetFailure.java
@@ -77,4 +77,31 @@
       return "\"%s\" is not an IP number with a port, such as 127.0.0.1:8080.".formatted(text);
     }
   }
+
+  /** Bytes between entries that are not a frame, or a frame out of order; the connection ends. */
+  record BadFrame(String peer, String reason) implements NetFailure {
+    @Override
+    public String type() {
+      return "bad_frame";
+    }
+
+    @Override
+    public String message() {
+      return "The connection from %s brought a wrong frame: %s".formatted(peer, reason);
+    }
+  }
+
+  /** A request that was not sent, because its sender lost the authority at the last step. */
+  record Withheld(String address) implements NetFailure {
+    @Override
+    public String type() {
+      return "withheld";
+    }
+
+    @Override
+    public String message() {
+      return "The request to %s was not sent, because the lease no longer allows it."
+          .formatted(address);
+    }
+  }
 }
