Carry peer messages in TCP frames again, and let connections come back

Cause of the hang that took the transport out: disconnect() closed a channel group that stays closed, so the receiver ended every later connection at once. PeerFramesTest timed out after 60 s before, and passes now.

--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/PeerTransport.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/PeerTransport.java
@@ -80,7 +80,8 @@
       Incarnation self,
       PeerReceiver receiver,
       Consumer<Failure> failures) {
-    ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
+    // A group that stays closed would refuse every connection after disconnect().
+    ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, false);
     ServerBootstrap bootstrap =
         new ServerBootstrap()
             .group(loops)
