Let the daemon take part in leases, membership, orders and usage reports

The log, the platform, the engines and other entries are each reached by one adapter. An entry now joins through the log, so the directory names it, and records its end when it leaves.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/control/CoordinatorEvent.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/control/CoordinatorEvent.java
@@ -46,6 +46,9 @@
   /** A request used tokens or a service. */
   record Used(UsageFigure figure) implements CoordinatorEvent {}
 
+  /** The process is about to end: others stop naming it to callers, and it still serves. */
+  record Retire() implements CoordinatorEvent {}
+
   /** The process is to end: release everything, then record the end. */
   record Leave() implements CoordinatorEvent {}
 }
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/control/CoordinatorStep.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/control/CoordinatorStep.java
@@ -56,6 +56,9 @@
       long window = UsageLedger.windowAt(work.now.wallMs());
       work.ledger = work.ledger.count(window, used.figure());
     }
+    if (event instanceof CoordinatorEvent.Retire) {
+      work.toMembers(new MemberEvent.Leave());
+    }
     if (event instanceof CoordinatorEvent.Leave) {
       leave();
     }
--- a/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/ControlLoop.java
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/ControlLoop.java
@@ -1,42 +1,59 @@
 package io.samphiregauge.daemon;
 
 import io.samphiregauge.core.Clock;
-import io.samphiregauge.core.log.Fold;
-import io.samphiregauge.core.log.FoldStep;
-import io.samphiregauge.core.log.FoldedState;
-import io.samphiregauge.schema.peer.RecordAt;
-import io.samphiregauge.schema.platform.RecordsPage;
-import java.lang.System.Logger;
-import java.lang.System.Logger.Level;
+import io.samphiregauge.core.RandomSource;
+import io.samphiregauge.core.Step;
+import io.samphiregauge.core.control.Coordinator;
+import io.samphiregauge.core.control.CoordinatorAction;
+import io.samphiregauge.core.control.CoordinatorEvent;
+import io.samphiregauge.core.control.Entrant;
+import io.samphiregauge.core.control.Now;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * Owns the control state on one thread. Others post events and read the published snapshot; the
- * thread blocks while there is no event.
+ * thread blocks until there is an event or the coordinator needs a tick.
  */
 final class ControlLoop implements AutoCloseable {
-  private static final Logger LOG = System.getLogger(ControlLoop.class.getName());
+  /** Bounds how often ticks run, should a part of the coordinator stay due. */
+  private static final long MIN_WAIT_MS = 5;
 
-  private final BlockingQueue<ControlEvent> events = new LinkedBlockingQueue<>();
+  private final BlockingQueue<Posted> queue = new LinkedBlockingQueue<>();
   private final Clock clock;
+  private final RandomSource random;
   private final Thread thread;
+  private final Entrant entrant;
+  private final Consumer<CoordinatorAction> performer;
   private volatile Snapshot snapshot = Snapshot.initial();
 
-  private ControlLoop(Clock clock, String vm) {
+  /** An event, or the end of the loop where there is none, and what to do afterwards. */
+  private record Posted(Optional<CoordinatorEvent> event, Runnable after) {}
+
+  ControlLoop(
+      Clock clock, RandomSource random, Entrant entrant, Consumer<CoordinatorAction> performer) {
     this.clock = clock;
-    this.thread = new Thread(this::run, "control-" + vm);
+    this.random = random;
+    this.entrant = entrant;
+    this.performer = performer;
+    this.thread = new Thread(this::run, "control-" + entrant.self().getVm());
   }
 
-  static ControlLoop start(Clock clock, String vm) {
-    ControlLoop loop = new ControlLoop(clock, vm);
-    loop.thread.start();
-    return loop;
+  void start() {
+    thread.start();
   }
 
   /** Hands an event to the control thread; safe for all threads. */
-  void post(ControlEvent event) {
-    events.add(event);
+  void post(CoordinatorEvent event) {
+    post(event, () -> {});
+  }
+
+  /** Hands over an event, and runs a task once its effect is published; safe for all threads. */
+  void post(CoordinatorEvent event, Runnable after) {
+    queue.add(new Posted(Optional.of(event), after));
   }
 
   /** Returns the newest published state; safe for all threads. */
@@ -46,7 +63,7 @@
 
   @Override
   public void close() {
-    post(new ControlEvent.Stop());
+    queue.add(new Posted(Optional.empty(), () -> {}));
     try {
       thread.join();
     } catch (InterruptedException e) {
@@ -55,44 +72,36 @@
   }
 
   private void run() {
+    Posted tick = new Posted(Optional.of(new CoordinatorEvent.Tick()), () -> {});
     try {
+      Coordinator coordinator = Coordinator.joining(entrant, now());
       while (true) {
-        ControlEvent event = events.take();
-        if (event instanceof ControlEvent.Stop) {
+        Posted posted = next(coordinator).orElse(tick);
+        if (posted.event().isEmpty()) {
           return;
         }
-        handle(event);
+        coordinator = handle(coordinator, posted);
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
   }
 
-  private void handle(ControlEvent event) {
-    if (event instanceof ControlEvent.PageRead read) {
-      fold(read.page());
-      return;
-    }
-    if (event instanceof ControlEvent.LogUnreachable lost) {
-      LOG.log(Level.WARNING, "event=log_unreachable reason=\"{0}\"", lost.failure().message());
-    }
+  private Optional<Posted> next(Coordinator coordinator) throws InterruptedException {
+    long waitMs = Math.max(MIN_WAIT_MS, coordinator.deadlineMs(now()) - clock.nowMs());
+    return Optional.ofNullable(queue.poll(waitMs, TimeUnit.MILLISECONDS));
   }
 
-  private void fold(RecordsPage page) {
-    FoldedState state = snapshot.state();
-    for (RecordAt at : page.getRecords()) {
-      FoldStep step = Fold.apply(state, at.getOffset(), at.getRecord());
-      step.rejection()
-          .ifPresent(
-              failure ->
-                  LOG.log(
-                      Level.INFO,
-                      "event=record_ignored offset={0} reason=\"{1}\"",
-                      at.getOffset(),
-                      failure.message()));
-      state = step.state();
-    }
-    boolean caughtUp = state.upToOffset() + 1 >= page.getNextOffset();
-    snapshot = new Snapshot(state, clock.nowMs(), snapshot.ready() || caughtUp);
+  private Coordinator handle(Coordinator coordinator, Posted posted) {
+    Step<Coordinator, CoordinatorAction> step =
+        coordinator.on(posted.event().orElseThrow(), now(), random);
+    snapshot = snapshot.next(step.state());
+    step.actions().forEach(performer);
+    posted.after().run();
+    return step.state();
+  }
+
+  private Now now() {
+    return new Now(clock.nowMs(), System.currentTimeMillis());
   }
 }
--- /dev/null
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/ControlSide.java
@@ -0,0 +1,133 @@
+package io.samphiregauge.daemon;
+
+import io.netty.channel.EventLoopGroup;
+import io.samphiregauge.core.Clock;
+import io.samphiregauge.core.control.CoordinatorAction;
+import io.samphiregauge.core.control.CoordinatorEvent;
+import io.samphiregauge.core.control.Entrant;
+import io.samphiregauge.daemon.traffic.TrafficView;
+import io.samphiregauge.daemon.traffic.UsageListener;
+import io.samphiregauge.net.Address;
+import io.samphiregauge.net.HttpCaller;
+import io.samphiregauge.net.PeerTransport;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
+import org.agrona.CloseHelper;
+
+/** Runs the coordinator of an entry and carries out what it asks for. */
+final class ControlSide implements AutoCloseable {
+  private static final Logger LOG = System.getLogger(ControlSide.class.getName());
+
+  private final Clock clock;
+  private final ControlLoop loop;
+  private final LogClient log;
+  private final OrderClient orders;
+  private final UsageBuffer usage;
+  private final Optional<PlatformWatch> platform;
+  private final PeerTransport peers;
+  private final CompletableFuture<Void> ended = new CompletableFuture<>();
+
+  ControlSide(
+      EventLoopGroup loops,
+      Clock clock,
+      Entrant entrant,
+      Address logAddress,
+      Optional<Address> platformAddress,
+      PeerTransport peers) {
+    HttpCaller caller = new HttpCaller(loops);
+    this.clock = clock;
+    this.peers = peers;
+    this.loop =
+        new ControlLoop(
+            clock, () -> ThreadLocalRandom.current().nextLong(), entrant, this::perform);
+    this.log = new LogClient(loops, logAddress, clock, loop);
+    this.orders = new OrderClient(caller, platformAddress, clock, loop);
+    this.usage = new UsageBuffer(loops, loop);
+    this.platform = platformAddress.map(to -> new PlatformWatch(loops, caller, to, loop));
+  }
+
+  void start() {
+    loop.start();
+    log.follow();
+    usage.flush();
+    platform.ifPresent(PlatformWatch::watch);
+  }
+
+  void post(CoordinatorEvent event) {
+    loop.post(event);
+  }
+
+  UsageListener usage() {
+    return usage;
+  }
+
+  /** Returns what traffic threads see; safe for all threads. */
+  TrafficView view() {
+    Snapshot snapshot = loop.snapshot();
+    boolean mayServe = snapshot.mayServe(clock.nowMs());
+    Set<String> leaving = new HashSet<>(snapshot.excludedBackends());
+    platform.ifPresent(watch -> leaving.addAll(watch.leavingBackends()));
+    return new TrafficView(snapshot.state(), mayServe, mayServe, leaving, snapshot.leavingVms());
+  }
+
+  /** Completes once the log says that this process has ended. */
+  CompletableFuture<Void> ended() {
+    return ended;
+  }
+
+  @Override
+  public void close() {
+    platform.ifPresent(CloseHelper::close);
+    CloseHelper.closeAll(log, usage, loop, peers);
+  }
+
+  private void perform(CoordinatorAction action) {
+    if (action instanceof CoordinatorAction.Append append) {
+      log.append(append.call());
+    }
+    if (action instanceof CoordinatorAction.SendPeer send) {
+      peers.send(send.peerAddress(), send.message());
+    }
+    if (action instanceof CoordinatorAction.SendOrder send) {
+      orders.send(send.order());
+    }
+    if (action instanceof CoordinatorAction.SendReport send) {
+      orders.report(send.report());
+    }
+    if (action instanceof CoordinatorAction.HasEnded) {
+      LOG.log(Level.INFO, "event=ended");
+      ended.complete(null);
+    }
+    record(action);
+  }
+
+  private static void record(CoordinatorAction action) {
+    if (action instanceof CoordinatorAction.Decided decided) {
+      LOG.log(
+          Level.INFO,
+          "event=placement subject={0} decision={1} reason=\"{2}\"",
+          decided.subject(),
+          decided.decision(),
+          decided.reason());
+    }
+    if (action instanceof CoordinatorAction.Ignored ignored) {
+      LOG.log(
+          Level.INFO,
+          "event=record_ignored offset={0} reason=\"{1}\"",
+          String.valueOf(ignored.offset()),
+          ignored.reason().message());
+    }
+    if (action instanceof CoordinatorAction.MemberChanged changed) {
+      LOG.log(
+          Level.INFO,
+          "event=member_changed vm={0} state={1}",
+          changed.member().getIncarnation().getVm(),
+          changed.member().getState().value());
+    }
+  }
+}
--- a/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/Entry.java
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/Entry.java
@@ -3,22 +3,32 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.samphiregauge.core.Clock;
+import io.samphiregauge.core.control.CoordinatorEvent;
+import io.samphiregauge.core.control.Entrant;
+import io.samphiregauge.core.result.Failure;
 import io.samphiregauge.core.result.Result;
 import io.samphiregauge.core.route.RoutingPolicies;
 import io.samphiregauge.daemon.traffic.TrafficParts;
 import io.samphiregauge.daemon.traffic.TrafficServer;
 import io.samphiregauge.daemon.traffic.TrafficView;
 import io.samphiregauge.net.Address;
+import io.samphiregauge.net.PeerReceiver;
+import io.samphiregauge.net.PeerTransport;
 import io.samphiregauge.schema.config.Settings;
 import io.samphiregauge.schema.record.Incarnation;
+import io.samphiregauge.schema.record.Joined;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.security.SecureRandom;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import org.agrona.CloseHelper;
 
 /**
- * One entry: serves callers and follows the log.
+ * One entry: serves callers, follows the log and takes its part in control.
  *
  * <pre>{@code
  * try (Entry entry = Entry.start(settings, clock)) {
@@ -27,20 +37,47 @@
  * }</pre>
  */
 public final class Entry implements AutoCloseable {
-  // An entry that heard nothing from the log for longer cannot know which keys are valid.
-  private static final long FRESH_MS = 3_000;
+  private static final Logger LOG = System.getLogger(Entry.class.getName());
+
+  /** Time in which other entries hear by gossip that this one is about to end. */
+  private static final int RETIRE_MS = 3_000;
+
+  /** Time to record the own end; an entry that cannot do so is declared dead by others. */
+  private static final int LEAVE_TIMEOUT_MS = 5_000;
 
   private final EventLoopGroup loops;
-  private final ControlLoop control;
-  private final LogFollower follower;
   private final TrafficServer traffic;
+  private final ControlSide control;
 
-  private Entry(
-      EventLoopGroup loops, ControlLoop control, LogFollower follower, TrafficServer traffic) {
+  private Entry(EventLoopGroup loops, TrafficServer traffic, ControlSide control) {
     this.loops = loops;
-    this.control = control;
-    this.follower = follower;
     this.traffic = traffic;
+    this.control = control;
+  }
+
+  /** Addresses of the settings, parsed. */
+  private record Addresses(Address http, Address peer, Address log, Optional<Address> platform) {
+    static Result<Addresses> of(Settings settings) {
+      Result<Optional<Address>> platform =
+          settings
+              .getPlatformUrl()
+              .map(url -> ofUrl(url).map(Optional::of))
+              .orElseGet(() -> Result.success(Optional.empty()));
+      return platform.flatMap(
+          to ->
+              ofUrl(settings.getLogUrl())
+                  .flatMap(
+                      log ->
+                          Address.parse(settings.getHttpAddress())
+                              .flatMap(
+                                  http ->
+                                      Address.parse(settings.getPeerAddress())
+                                          .map(peer -> new Addresses(http, peer, log, to)))));
+    }
+
+    private static Result<Address> ofUrl(String url) {
+      return Address.parse(url.replace("http://", ""));
+    }
   }
 
   /**
@@ -51,42 +88,80 @@
    * @return the running entry, or which address is wrong or taken
    */
   public static Result<Entry> start(Settings settings, Clock clock) {
-    return Address.parse(settings.getLogUrl().replace("http://", ""))
-        .flatMap(
-            log ->
-                Address.parse(settings.getHttpAddress())
-                    .flatMap(http -> start(settings, log, http, clock)));
+    return Addresses.of(settings).flatMap(addresses -> start(settings, addresses, clock));
   }
 
-  private static Result<Entry> start(Settings settings, Address log, Address http, Clock clock) {
+  private static Result<Entry> start(Settings settings, Addresses addresses, Clock clock) {
     EventLoopGroup loops =
         new NioEventLoopGroup(
             settings.getTrafficThreads().orElse(Runtime.getRuntime().availableProcessors()));
-    ControlLoop control = ControlLoop.start(clock, settings.getVm());
-    LogFollower follower = new LogFollower(loops, log, control);
     Incarnation self =
         new Incarnation(
             settings.getVm(), System.currentTimeMillis(), new SecureRandom().nextLong());
-    TrafficParts parts =
-        new TrafficParts(
-            settings,
-            clock,
-            self,
-            () -> view(control.snapshot(), clock),
-            RoutingPolicies.leastLoad(),
-            (team, model, promptTokens, outputTokens) -> {},
-            (backend, fingerprint, next) -> next.run());
+    // The control side needs the bound addresses, and both servers hand over to the control side.
+    AtomicReference<Optional<ControlSide>> control = new AtomicReference<>(Optional.empty());
+    PeerReceiver receiver =
+        (from, message) ->
+            control
+                .get()
+                .ifPresent(side -> side.post(new CoordinatorEvent.FromPeer(from, message)));
     Result<Entry> entry =
-        TrafficServer.start(loops, http, parts)
-            .map(traffic -> new Entry(loops, control, follower, traffic));
-    entry.value().ifPresent(started -> follower.follow(0));
-    entry.failure().ifPresent(failure -> stop(loops, follower, control));
+        PeerTransport.start(loops, addresses.peer(), self, receiver, Entry::warn)
+            .flatMap(
+                peers -> {
+                  Result<TrafficServer> traffic =
+                      TrafficServer.start(
+                          loops, addresses.http(), parts(settings, clock, self, control));
+                  traffic.failure().ifPresent(failure -> peers.close());
+                  return traffic.map(
+                      server -> {
+                        Entrant entrant = entrant(settings, self, server, peers);
+                        ControlSide side =
+                            new ControlSide(
+                                loops,
+                                clock,
+                                entrant,
+                                addresses.log(),
+                                addresses.platform(),
+                                peers);
+                        control.set(Optional.of(side));
+                        side.start();
+                        return new Entry(loops, server, side);
+                      });
+                });
+    entry.failure().ifPresent(failure -> stop(loops));
     return entry;
   }
 
-  private static TrafficView view(Snapshot snapshot, Clock clock) {
-    boolean fresh = snapshot.ready() && clock.nowMs() - snapshot.logContactMs() <= FRESH_MS;
-    return new TrafficView(snapshot.state(), fresh, snapshot.ready(), Set.of(), Set.of());
+  private static TrafficParts parts(
+      Settings settings,
+      Clock clock,
+      Incarnation self,
+      AtomicReference<Optional<ControlSide>> control) {
+    TrafficView none =
+        new TrafficView(Snapshot.initial().state(), false, false, Set.of(), Set.of());
+    return new TrafficParts(
+        settings,
+        clock,
+        self,
+        () -> control.get().map(ControlSide::view).orElse(none),
+        RoutingPolicies.leastLoad(),
+        (team, model, promptTokens, outputTokens) ->
+            control
+                .get()
+                .ifPresent(side -> side.usage().add(team, model, promptTokens, outputTokens)),
+        (backend, fingerprint, next) -> next.run());
+  }
+
+  private static Entrant entrant(
+      Settings settings, Incarnation self, TrafficServer server, PeerTransport peers) {
+    Joined joined =
+        new Joined(
+            settings.getRegion(),
+            settings.getFailureDomain(),
+            server.address().toString(),
+            peers.address().toString());
+    return Entrant.of(self, joined).knowing(settings.getSeedPeers());
   }
 
   /**
@@ -99,22 +174,44 @@
   }
 
   /**
-   * Shuts down without interrupting a request.
+   * Completes once the log says that this process has ended; it then serves no more and is to be
+   * started again.
+   *
+   * @return the end
+   */
+  public CompletableFuture<Void> ended() {
+    return control.ended();
+  }
+
+  /**
+   * Shuts down without interrupting a request: other entries stop naming this one, running calls
+   * end, leases and pieces are given back, and the end is recorded in the log.
    *
    * @return completes when no call runs and no caller is connected; the entry is then to be closed
    */
   public CompletableFuture<Void> drain() {
-    return traffic.drain();
+    control.post(new CoordinatorEvent.Retire());
+    CompletableFuture<Void> retired = new CompletableFuture<>();
+    loops.schedule(() -> retired.complete(null), RETIRE_MS, TimeUnit.MILLISECONDS);
+    return retired.thenCompose(none -> traffic.drain()).thenCompose(none -> leave());
+  }
+
+  private CompletableFuture<Void> leave() {
+    control.post(new CoordinatorEvent.Leave());
+    return control.ended().copy().completeOnTimeout(null, LEAVE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
   }
 
   @Override
   public void close() {
-    traffic.close();
-    stop(loops, follower, control);
+    CloseHelper.closeAll(traffic, control);
+    stop(loops);
   }
 
-  private static void stop(EventLoopGroup loops, LogFollower follower, ControlLoop control) {
-    CloseHelper.closeAll(follower, control);
+  private static void stop(EventLoopGroup loops) {
     loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
   }
+
+  private static void warn(Failure failure) {
+    LOG.log(Level.WARNING, "event={0} reason=\"{1}\"", failure.type(), failure.message());
+  }
 }
--- /dev/null
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/OrderClient.java
@@ -0,0 +1,117 @@
+package io.samphiregauge.daemon;
+
+import io.samphiregauge.core.Clock;
+import io.samphiregauge.core.control.Coordinator;
+import io.samphiregauge.core.control.CoordinatorEvent;
+import io.samphiregauge.core.lease.LeaseAgent;
+import io.samphiregauge.core.order.OrderAction;
+import io.samphiregauge.core.order.OrderEvent;
+import io.samphiregauge.core.order.Orders;
+import io.samphiregauge.core.usage.UsageAction;
+import io.samphiregauge.core.usage.UsageEvent;
+import io.samphiregauge.net.Address;
+import io.samphiregauge.net.Codec;
+import io.samphiregauge.net.HttpCaller;
+import io.samphiregauge.schema.config.Backend;
+import io.samphiregauge.schema.platform.OrderAnswer;
+import io.samphiregauge.schema.platform.OrderRequest;
+import io.samphiregauge.schema.platform.UsageReportAnswer;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Function;
+
+/** Adapter that sends orders and usage reports while the lease for them still allows it. */
+final class OrderClient {
+  private static final int TIMEOUT_MS = 5_000;
+
+  private final HttpCaller caller;
+  private final Optional<Address> platform;
+  private final Clock clock;
+  private final ControlLoop control;
+
+  OrderClient(HttpCaller caller, Optional<Address> platform, Clock clock, ControlLoop control) {
+    this.caller = caller;
+    this.platform = platform;
+    this.clock = clock;
+    this.control = control;
+  }
+
+  void send(OrderAction.Send order) {
+    OrderEvent lost = new OrderEvent.Unanswered(order.intentOffset());
+    Optional<Address> target = target(order.target());
+    if (target.isEmpty()) {
+      control.post(new CoordinatorEvent.Ordered(lost));
+      return;
+    }
+    String path = order.target().equals(Orders.PLATFORM) ? "/v1/backend-orders" : "/v1/orders";
+    byte[] json = Codec.json().encode(new OrderRequest(order.intentOffset(), order.order()));
+    caller
+        .postIf(
+            target.get(),
+            path,
+            json,
+            TIMEOUT_MS,
+            () -> holds(Coordinator::fleetLease, order.leaseToken()))
+        .thenAccept(
+            body ->
+                control.post(
+                    new CoordinatorEvent.Ordered(
+                        body.flatMap(bytes -> Codec.json().decode(bytes, OrderAnswer.class))
+                            .<OrderEvent>map(
+                                answer ->
+                                    new OrderEvent.Answered(
+                                        order.intentOffset(), answer.getStatus()))
+                            .value()
+                            .orElse(lost))));
+  }
+
+  void report(UsageAction.Report report) {
+    long window = report.report().getWindow();
+    UsageEvent lost = new UsageEvent.Unanswered(window);
+    if (platform.isEmpty()) {
+      control.post(new CoordinatorEvent.Reported(lost));
+      return;
+    }
+    caller
+        .postIf(
+            platform.get(),
+            "/v1/usage-reports",
+            Codec.json().encode(report.report()),
+            TIMEOUT_MS,
+            () -> holds(Coordinator::usageLease, report.leaseToken()))
+        .thenAccept(
+            body ->
+                control.post(
+                    new CoordinatorEvent.Reported(
+                        body.flatMap(bytes -> Codec.json().decode(bytes, UsageReportAnswer.class))
+                            .<UsageEvent>map(
+                                answer ->
+                                    new UsageEvent.Answered(
+                                        window, answer.getStatus(), System.currentTimeMillis()))
+                            .value()
+                            .orElse(lost))));
+  }
+
+  /** Asked on an event loop at the last step before the socket write. */
+  private boolean holds(Function<Coordinator, LeaseAgent> lease, long token) {
+    return control
+        .snapshot()
+        .coordinator()
+        .map(lease)
+        .filter(agent -> agent.token(clock.nowMs()).equals(OptionalLong.of(token)))
+        .isPresent();
+  }
+
+  private Optional<Address> target(String name) {
+    if (name.equals(Orders.PLATFORM)) {
+      return platform;
+    }
+    return control
+        .snapshot()
+        .state()
+        .config()
+        .backend(name)
+        .map(Backend::getAddress)
+        .flatMap(text -> Address.parse(text).value());
+  }
+}
--- a/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/Snapshot.java
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/Snapshot.java
@@ -1,16 +1,54 @@
 package io.samphiregauge.daemon;
 
+import io.samphiregauge.core.control.Coordinator;
 import io.samphiregauge.core.log.FoldedState;
+import io.samphiregauge.core.member.Known;
+import io.samphiregauge.core.order.Orders;
+import io.samphiregauge.schema.peer.MemberState;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
 
 /**
- * What traffic threads see of the control state; immutable.
+ * What other threads see of the control state; immutable.
  *
- * @param state folded log state
- * @param logContactMs time of the last answer of the log, on the clock of the process
- * @param ready whether the state has been read up to the end of the log once
+ * @param coordinator control state, or empty before the start
+ * @param excludedBackends backend servers that get no new work because of an order
+ * @param leavingVms VMs whose entries are about to end
  */
-record Snapshot(FoldedState state, long logContactMs, boolean ready) {
+record Snapshot(
+    Optional<Coordinator> coordinator, Set<String> excludedBackends, Set<String> leavingVms) {
   static Snapshot initial() {
-    return new Snapshot(FoldedState.empty(), Long.MIN_VALUE, false);
+    return new Snapshot(Optional.empty(), Set.of(), Set.of());
+  }
+
+  /** Makes the next snapshot; what follows from the folded state is kept while that stays. */
+  Snapshot next(Coordinator now) {
+    boolean sameState =
+        coordinator.filter(before -> before.state().equals(now.state())).isPresent();
+    Set<String> excluded = sameState ? excludedBackends : Orders.excluded(now.state());
+    return new Snapshot(Optional.of(now), excluded, leaving(now));
+  }
+
+  FoldedState state() {
+    return coordinator.map(Coordinator::state).orElseGet(FoldedState::empty);
+  }
+
+  boolean mayServe(long nowMs) {
+    return coordinator.filter(current -> current.mayServe(nowMs)).isPresent();
+  }
+
+  long nextOffset() {
+    return coordinator.map(Coordinator::nextOffset).orElse(0L);
+  }
+
+  private static Set<String> leaving(Coordinator coordinator) {
+    Set<String> vms = new HashSet<>();
+    for (Known known : coordinator.members().others()) {
+      if (known.member().getState() == MemberState.LEAVING) {
+        vms.add(known.member().getIncarnation().getVm());
+      }
+    }
+    return vms;
   }
 }
