Find other entries through the log, and test three entries together

Cause: membership knew only seeds and the platform's list, so three entries of the demo, which have neither, never probed each other. Peer addresses of joined processes are now hints too.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/control/CoordinatorStep.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/control/CoordinatorStep.java
@@ -50,7 +50,7 @@
       work.toReporter(reported.outcome());
     }
     if (event instanceof CoordinatorEvent.VmsListed listed) {
-      work.toMembers(new MemberEvent.Hint(listed.peerAddresses(), listed.leavingVms()));
+      PeerPart.hint(work, listed.peerAddresses(), listed.leavingVms());
     }
     if (event instanceof CoordinatorEvent.Used used) {
       long window = UsageLedger.windowAt(work.now.wallMs());
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/control/LogPart.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/control/LogPart.java
@@ -21,6 +21,7 @@
 import io.samphiregauge.schema.record.PieceTable;
 import io.samphiregauge.schema.record.ProcessState;
 import io.samphiregauge.schema.record.UsageSealed;
+import java.util.List;
 import java.util.OptionalLong;
 
 /** Hands what was read, from the log or from a peer, to all parts. */
@@ -32,6 +33,9 @@
     if (work.reader.isCaughtUp(page)) {
       work.freshness = work.freshness.withOwnContact(requestSentMs);
     }
+    if (!page.getRecords().isEmpty()) {
+      PeerPart.hint(work, List.of(), List.of());
+    }
     tellMembers(work);
   }
 
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/control/PeerPart.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/control/PeerPart.java
@@ -22,6 +22,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeSet;
 
 /** Talks with other entries: records, reports of an outage, usage and membership. */
 final class PeerPart {
@@ -50,6 +52,18 @@
     }
   }
 
+  /** Hints at members: those that the platform lists, and those that joined through the log. */
+  static void hint(Work work, List<String> listed, List<String> leavingVms) {
+    Set<String> addresses = new TreeSet<>(listed);
+    for (ProcessState process : work.state().processes().values()) {
+      if (!process.isEnded()) {
+        addresses.add(process.getJoined().getPeerAddress());
+      }
+    }
+    addresses.remove(work.entrant.joined().getPeerAddress());
+    work.toMembers(new MemberEvent.Hint(List.copyOf(addresses), leavingVms));
+  }
+
   static OutageReports.View view(Work work) {
     return new OutageReports.View(
         work.state().upToOffset(),
--- /dev/null
+++ b/samphiregauge-daemon/src/test/java/io/samphiregauge/daemon/EntriesTogetherTest.java
@@ -0,0 +1,137 @@
+package io.samphiregauge.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.samphiregauge.net.Address;
+import io.samphiregauge.net.Codec;
+import io.samphiregauge.net.HttpCaller;
+import io.samphiregauge.schema.config.Settings;
+import io.samphiregauge.schema.entry.DirectoryAnswer;
+import io.samphiregauge.schema.platform.RecordsPage;
+import io.samphiregauge.schema.record.Ended;
+import io.samphiregauge.schema.record.LeaseClaim;
+import io.samphiregauge.schema.record.LogRecord;
+import io.samphiregauge.standins.LogStandin;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against entries that do not find each other, and against an end that nobody hears of. */
+class EntriesTogetherTest {
+  private static final Address ANY = new Address("127.0.0.1", 0);
+  private static final int CALL_TIMEOUT_MS = 5_000;
+
+  /** Ends a test that would hang; it is far longer than gossip and the log need. */
+  private static final int MAX_TRIES = 600;
+
+  private static final int TRY_INTERVAL_MS = 100;
+  private final NioEventLoopGroup logLoop = new NioEventLoopGroup(1);
+  private final NioEventLoopGroup callLoop = new NioEventLoopGroup(1);
+  private final HttpCaller caller = new HttpCaller(callLoop);
+  private final List<Entry> entries = new ArrayList<>();
+  private LogStandin log;
+
+  @BeforeEach
+  void start() {
+    log = LogStandin.start(logLoop, ANY);
+    for (String domain : List.of("a", "b", "c")) {
+      Settings settings = settings(domain);
+      entries.add(Entry.start(settings, () -> System.nanoTime() / 1_000_000).value().orElseThrow());
+    }
+  }
+
+  @AfterEach
+  void stop() {
+    entries.forEach(Entry::close);
+    log.close();
+    logLoop.shutdownGracefully();
+    callLoop.shutdownGracefully();
+  }
+
+  @Test
+  void eachEntryNamesAllEntriesAndOneHoldsEachLease() throws Exception {
+    for (Entry entry : entries) {
+      assertThat(until(() -> directory(entry), named -> named == 3)).isEqualTo(3);
+    }
+    List<String> claimed = until(this::acceptedRoles, roles -> roles.size() >= 2);
+    assertThat(claimed).containsExactlyInAnyOrder("fleet/luzon", "usage/luzon");
+  }
+
+  @Test
+  void anEntryThatLeavesIsNamedNoMoreAndRecordsItsEnd() throws Exception {
+    Entry staying = entries.get(0);
+    until(() -> directory(staying), named -> named == 3);
+    entries.remove(2).drain().get(MAX_TRIES * TRY_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    assertThat(until(() -> directory(staying), named -> named == 2)).isEqualTo(2);
+    List<String> ended =
+        records().stream()
+            .map(LogRecord::getBody)
+            .filter(Ended.class::isInstance)
+            .map(body -> ((Ended) body).getIncarnation().getVm())
+            .toList();
+    assertThat(ended).containsExactly("vm-c");
+  }
+
+  /** Repeats a look until it shows what is wanted, and returns the last one. */
+  private static <T> T until(Supplier<T> look, Predicate<T> wanted) throws InterruptedException {
+    T seen = look.get();
+    for (int i = 0; i < MAX_TRIES && !wanted.test(seen); i++) {
+      TimeUnit.MILLISECONDS.sleep(TRY_INTERVAL_MS);
+      seen = look.get();
+    }
+    return seen;
+  }
+
+  private int directory(Entry entry) {
+    return caller
+        .get(entry.address(), "/v1/directory", CALL_TIMEOUT_MS)
+        .join()
+        .flatMap(body -> Codec.json().decode(body, DirectoryAnswer.class))
+        .map(answer -> answer.getAddresses().size())
+        .value()
+        .orElse(0);
+  }
+
+  /** Returns the roles that are held; the first claim of a role is the one that counts. */
+  private List<String> acceptedRoles() {
+    return records().stream()
+        .map(LogRecord::getBody)
+        .filter(LeaseClaim.class::isInstance)
+        .map(body -> ((LeaseClaim) body).getRole())
+        .distinct()
+        .toList();
+  }
+
+  private List<LogRecord> records() {
+    return caller
+        .get(log.address(), "/v1/streams/control/records?from=0&wait_ms=0", CALL_TIMEOUT_MS)
+        .join()
+        .flatMap(body -> Codec.json().decode(body, RecordsPage.class))
+        .value()
+        .orElseThrow()
+        .getRecords()
+        .stream()
+        .map(at -> at.getRecord())
+        .toList();
+  }
+
+  private Settings settings(String domain) {
+    return new Settings(
+        "vm-" + domain,
+        "luzon",
+        domain,
+        "127.0.0.1:0",
+        "127.0.0.1:0",
+        "http://" + log.address(),
+        List.of(),
+        200,
+        100,
+        500);
+  }
+}
