Describe the outage view in one place

CoordinatorStep and PeerPart built the same view of live processes and log contact; Deadlines now calls the one of PeerPart. Behaviour is unchanged.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/control/CoordinatorStep.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/control/CoordinatorStep.java
@@ -5,9 +5,7 @@
 import io.samphiregauge.core.lease.LeaseEvent;
 import io.samphiregauge.core.log.LogWriter;
 import io.samphiregauge.core.member.MemberEvent;
-import io.samphiregauge.core.member.OutageReports;
 import io.samphiregauge.core.usage.UsageLedger;
-import io.samphiregauge.schema.record.ProcessState;
 
 /** One step of a coordinator: takes the event, then lets each part do what is due. */
 final class CoordinatorStep {
@@ -89,14 +87,4 @@
             true, true, true, p.releasing(), p.tableWritten(), p.copyMs(), p.piecesMs());
     work.actions.add(new CoordinatorAction.HasEnded());
   }
-
-  static OutageReports.View view(ControlState parts) {
-    return new OutageReports.View(
-        parts.reader().state().upToOffset(),
-        parts.reader().state().processes().values().stream()
-            .filter(process -> !process.isEnded())
-            .map(ProcessState::getIncarnation)
-            .toList(),
-        parts.freshness().ownContactMs());
-  }
 }
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/control/Deadlines.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/control/Deadlines.java
@@ -24,7 +24,8 @@
     OptionalLong contactMs = parts.freshness().ownContactMs();
     long lostMs = contactMs.isPresent() ? contactMs.getAsLong() + Relay.ASK_AFTER_MS : 0;
     long askMs = Math.max(lostMs, parts.relay().nextRequestMs());
-    return Math.min(askMs, parts.outage().deadlineMs(CoordinatorStep.view(parts)));
+    return Math.min(
+        askMs, parts.outage().deadlineMs(PeerPart.view(parts.reader().state(), parts.freshness())));
   }
 
   private static long earlier(long time, OptionalLong other) {
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/control/PeerPart.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/control/PeerPart.java
@@ -1,6 +1,7 @@
 package io.samphiregauge.core.control;
 
 import io.samphiregauge.core.Step;
+import io.samphiregauge.core.log.FoldedState;
 import io.samphiregauge.core.log.Freshness;
 import io.samphiregauge.core.member.Known;
 import io.samphiregauge.core.member.MemberAction;
@@ -65,13 +66,17 @@
   }
 
   static OutageReports.View view(Work work) {
+    return view(work.state(), work.freshness);
+  }
+
+  static OutageReports.View view(FoldedState state, Freshness freshness) {
     return new OutageReports.View(
-        work.state().upToOffset(),
-        work.state().processes().values().stream()
+        state.upToOffset(),
+        state.processes().values().stream()
             .filter(process -> !process.isEnded())
             .map(ProcessState::getIncarnation)
             .toList(),
-        work.freshness.ownContactMs());
+        freshness.ownContactMs());
   }
 
   /** Without log contact, asks peers for records and for their reports of the outage. */
