--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/fleet/DomainTargets.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/fleet/DomainTargets.java
@@ -1,49 +1,48 @@
 package io.samphiregauge.core.fleet;
 
-import io.samphiregauge.core.backend.BackendServer;
 import io.samphiregauge.core.site.ScalingSpec;
 import io.samphiregauge.core.site.ServiceSpec;
 import io.samphiregauge.core.site.SiteConfig;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
-/** Plans how many backend servers each failure domain is to have. It keeps no state. */
+/**
+ * Plans how many backend servers each failure domain is to have. It keeps no state.
+ *
+ * <p>Reclaimable servers cost a fraction of the others. All that the bounds allow are ordered, beside
+ * the fewest ordinary ones, so that the servers left after a reclaim still carry the load.
+ */
 public final class DomainTargets {
   private DomainTargets() {}
 
   /**
-   * Plans the servers of all services that can be scaled: as many as there are, within the bounds.
+   * Plans the servers of all services that can be scaled.
    *
    * @param config the configuration
-   * @param servers the servers that are usable now
-   * @return targets, in a fixed order
+   * @return targets, in the order in which they are to be ordered: what is added comes first
    */
-  public static List<DomainTarget> keep(SiteConfig config, List<BackendServer> servers) {
+  public static List<DomainTarget> plan(SiteConfig config) {
     List<DomainTarget> targets = new ArrayList<>();
     for (ServiceSpec service : new TreeMap<>(config.services()).values()) {
-      service
-          .scaling()
-          .ifPresent(scaling -> targets.addAll(keep(service.name(), scaling, servers)));
+      service.scaling().ifPresent(scaling -> targets.addAll(plan(service.name(), scaling)));
     }
     return targets;
   }
 
-  private static List<DomainTarget> keep(
-      String service, ScalingSpec scaling, List<BackendServer> servers) {
-    List<DomainTarget> targets = new ArrayList<>();
-    Map<String, Double> domains = new TreeMap<>(scaling.domainPrices());
-    for (String domain : domains.keySet()) {
-      int count =
-          (int)
-              servers.stream()
-                  .filter(server -> server.service().equals(service))
-                  .filter(server -> server.domain().equals(domain) && !server.reclaimable())
-                  .count();
-      int wanted = Math.min(scaling.max(), Math.max(scaling.min(), count));
-      targets.add(new DomainTarget(service, domain, false, wanted));
+  private static List<DomainTarget> plan(String service, ScalingSpec scaling) {
+    List<DomainTarget> added = new ArrayList<>();
+    List<DomainTarget> removed = new ArrayList<>();
+    for (String domain : new TreeSet<>(scaling.domainPrices().keySet())) {
+      boolean cheap = scaling.reclaimableShare() < 1;
+      int ordinary = cheap ? scaling.min() : scaling.max();
+      if (cheap) {
+        added.add(new DomainTarget(service, domain, true, scaling.max() - ordinary));
+      }
+      removed.add(new DomainTarget(service, domain, false, ordinary));
     }
-    return targets;
+    added.addAll(removed);
+    return added;
   }
 }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
@@ -139,6 +139,9 @@
   }
 
   private void seen(Result<StorePage.Records> result) {
+    result
+        .failure()
+        .ifPresent(failure -> LOG.log(Level.WARNING, "event=duty_read_failed " + failure.message()));
     result
         .value()
         .ifPresent(
@@ -238,7 +241,12 @@
 
   private DutyRecord next(DutyRecord value, long sealUpTo) {
     List<SealedUsage> sealed = new ArrayList<>(value.getSealed());
+    long firstOfProcess = Math.floorDiv(self.boot(), times.windowMs());
     long first = Math.max(lastSealed(value) + 1, sealUpTo - KEPT_SEALED + 1);
+    if (value.getSealed().isEmpty()) {
+      // Before the first entry started, there was no traffic to report.
+      first = Math.max(first, firstOfProcess);
+    }
     for (long window = first; window <= sealUpTo; window++) {
       sealed.add(tally.total(window));
     }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
@@ -105,7 +105,7 @@
   private List<DomainTarget> targets() {
     return site.config()
         .filter(config -> site.serversKnown())
-        .map(config -> DomainTargets.keep(config, site.servers()))
+        .map(DomainTargets::plan)
         .orElse(List.of());
   }
 
