Exchange loads between entries and give each prompt one weighted home

Cause: each entry guessed the load of the others from its own and moved prompts away from the engine that had read their shared parts.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/Rendezvous.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/Rendezvous.java
@@ -1,17 +1,44 @@
 package io.samphiregauge.core.dispatch;
 
+import io.samphiregauge.core.backend.BackendServer;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.ToDoubleFunction;
 import java.util.zip.CRC32C;
 
-/** Highest-random-weight hashing. */
+/** Weighted highest-random-weight hashing, by which all entries agree without talking. */
 final class Rendezvous {
   private static final long GOLDEN = 0x9E3779B97F4A7C15L;
 
   private Rendezvous() {}
 
-  /** Returns the rank of a server for a key; the server with the highest rank is its home. */
-  static long rank(String key, String server) {
-    return mix(crc(key) * GOLDEN ^ mix(crc(server)));
+  /**
+   * Finds the home of a key.
+   *
+   * @param key the key
+   * @param servers the candidates
+   * @param weight share of the keys that a server gets, relative to the others
+   * @return the server with the highest rank
+   */
+  static Optional<ServerLoad> home(
+      String key, List<ServerLoad> servers, ToDoubleFunction<BackendServer> weight) {
+    Optional<ServerLoad> home = Optional.empty();
+    double highest = Double.NEGATIVE_INFINITY;
+    for (ServerLoad load : servers) {
+      double rank = -weight.applyAsDouble(load.server()) / Math.log(draw(key, load.server().id()));
+      if (home.isEmpty() || rank > highest) {
+        home = Optional.of(load);
+        highest = rank;
+      }
+    }
+    return home;
+  }
+
+  /** Returns a fraction between 0 and 1 that only the key and the server decide. */
+  private static double draw(String key, String server) {
+    long hash = mix(crc(key) * GOLDEN ^ mix(crc(server)));
+    return ((hash >>> 11) + 0.5) * 0x1.0p-53;
   }
 
   private static long crc(String text) {
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerChooser.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerChooser.java
@@ -3,7 +3,6 @@
 import io.samphiregauge.core.backend.BackendServer;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 
 /**
@@ -29,18 +28,18 @@
   /** Time and price of moving a KV cache to the engine that generates. */
   private static final double HAND_OVER_MS = 40;
 
+  /** Price of prefilling a shared token again, beside the time that it takes. */
+  private static final double REREAD_MS_PER_TOKEN = 0.02;
+
   private final String domain;
-  private final int entries;
 
   /**
    * Makes a chooser for one entry.
    *
    * @param domain failure domain of the entry
-   * @param entries entries that send to the same servers; each one is assumed to send as much
    */
-  public ServerChooser(String domain, int entries) {
+  public ServerChooser(String domain) {
     this.domain = domain;
-    this.entries = Math.max(1, entries);
   }
 
   /** What is to be done with the prompt of a request. */
@@ -57,7 +56,7 @@
     return least(
         servers,
         nowMs,
-        load -> (load.inFlight() + 1) * load.latencyMs() + generalCost(load, domain));
+        load -> (load.allInFlight() + 1) * load.latencyMs() + generalCost(load, domain));
   }
 
   /**
@@ -66,31 +65,44 @@
    * @param prompt the prompt
    * @param servers the candidates
    * @param nowMs monotonic time
-   * @return the plan, if there is a candidate
+   * @return the plan, if there is a candidate that can generate
    */
   public Optional<PromptPlan> prefill(Prompt prompt, List<ServerLoad> servers, long nowMs) {
     boolean canGenerate = servers.stream().anyMatch(load -> !load.server().prefillOnly());
     if (!canGenerate) {
       return Optional.empty();
     }
-    String home = prompt.home();
-    Optional<String> prefillHome = home(home, servers, BackendServer::prefillOnly);
-    Optional<String> decodeHome = home(home, servers, server -> !server.prefillOnly());
-    return least(
-            servers,
-            nowMs,
-            load -> {
-              boolean atHome =
-                  prefillHome.filter(load.server().id()::equals).isPresent()
-                      || decodeHome.filter(load.server().id()::equals).isPresent();
-              return prefillCost(prompt, load, atHome);
-            })
+    // Prompts are spread by the rate at which servers prefill.
+    Optional<ServerLoad> home = Rendezvous.home(prompt.home(), servers, ServerChooser::rate);
+    int shared = prompt.sharedParts().stream().mapToInt(PromptPart::tokens).sum();
+    return least(servers, nowMs, load -> prefillCost(prompt, load, shared, isHome(home, load)))
         .map(
             load ->
                 new PromptPlan(
                     load,
                     load.server().prefillOnly(),
-                    prompt.tokens() - load.prefixes().cachedTokens(prompt)));
+                    uncached(prompt, load, shared, isHome(home, load))));
+  }
+
+  private static boolean isHome(Optional<ServerLoad> home, ServerLoad load) {
+    return home.filter(load::equals).isPresent();
+  }
+
+  /** Other entries send the same parts to the same home, so it has read them for all. */
+  private static int uncached(Prompt prompt, ServerLoad load, int shared, boolean atHome) {
+    int cached = load.prefixes().cachedTokens(prompt);
+    return Math.max(0, prompt.tokens() - (atHome ? Math.max(cached, shared) : cached));
+  }
+
+  private double prefillCost(Prompt prompt, ServerLoad load, int shared, boolean atHome) {
+    int uncached = uncached(prompt, load, shared, atHome);
+    int reread = Math.max(0, uncached - (prompt.tokens() - shared));
+    double handOverMs = load.server().prefillOnly() ? HAND_OVER_MS : 0;
+    return queueMs(load)
+        + uncached / rate(load.server())
+        + reread * REREAD_MS_PER_TOKEN
+        + handOverMs
+        + generalCost(load, domain);
   }
 
   /**
@@ -108,29 +120,15 @@
         engines,
         nowMs,
         load ->
-            load.inFlight() * entries * RUNNING_REQUEST_MS
-                + queueMs(load)
-                + generalCost(load, source));
+            load.allInFlight() * RUNNING_REQUEST_MS + queueMs(load) + generalCost(load, source));
   }
 
-  private double prefillCost(Prompt prompt, ServerLoad load, boolean atHome) {
-    int cached = load.prefixes().cachedTokens(prompt);
-    if (atHome) {
-      // Other entries send the same parts to the same server, so it has read them for them.
-      int shared = prompt.sharedParts().stream().mapToInt(PromptPart::tokens).sum();
-      cached = Math.max(cached, shared);
-    }
-    double uncachedMs = Math.max(0, prompt.tokens() - cached) / rate(load);
-    double handOverMs = load.server().prefillOnly() ? HAND_OVER_MS : 0;
-    return queueMs(load) + uncachedMs + handOverMs + generalCost(load, domain);
-  }
-
-  private double queueMs(ServerLoad load) {
-    return load.promptTokens() * entries / rate(load);
+  private static double queueMs(ServerLoad load) {
+    return load.allPromptTokens() / rate(load.server());
   }
 
-  private static double rate(ServerLoad load) {
-    return load.server().prefillOnly() ? PREFILL_TOKENS_PER_MS : SHARED_PREFILL_TOKENS_PER_MS;
+  private static double rate(BackendServer server) {
+    return server.prefillOnly() ? PREFILL_TOKENS_PER_MS : SHARED_PREFILL_TOKENS_PER_MS;
   }
 
   private static double generalCost(ServerLoad load, String near) {
@@ -138,21 +136,6 @@
     return far + load.failureShare() * FAILURE_COST_MS;
   }
 
-  /** Ranks servers by a hash, so that all entries name the same one without talking. */
-  private static Optional<String> home(
-      String part, List<ServerLoad> servers, Predicate<BackendServer> fits) {
-    Optional<String> home = Optional.empty();
-    long highest = Long.MIN_VALUE;
-    for (ServerLoad load : servers) {
-      long rank = Rendezvous.rank(part, load.server().id());
-      if (fits.test(load.server()) && (home.isEmpty() || rank > highest)) {
-        home = Optional.of(load.server().id());
-        highest = rank;
-      }
-    }
-    return home;
-  }
-
   private static Optional<ServerLoad> least(
       List<ServerLoad> servers, long nowMs, ToDoubleFunction<ServerLoad> cost) {
     Optional<ServerLoad> best = Optional.empty();
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerLoad.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerLoad.java
@@ -19,6 +19,8 @@
   private final PrefixMemory prefixes;
   private int inFlight;
   private long promptTokens;
+  private int othersInFlight;
+  private long othersPromptTokens;
   private double latencyMs;
   private double failureShare;
   private int failuresInRow;
@@ -68,6 +70,27 @@
     return promptTokens;
   }
 
+  /** Returns the requests of all entries that the server has not answered, as far as known. */
+  public int allInFlight() {
+    return inFlight + othersInFlight;
+  }
+
+  /** Returns the prompt tokens of all entries that the server has still to prefill. */
+  public long allPromptTokens() {
+    return promptTokens + othersPromptTokens;
+  }
+
+  /**
+   * Takes what other entries have under way at the server.
+   *
+   * @param requests their requests that it has not answered
+   * @param tokens their prompt tokens that it has still to prefill
+   */
+  public void others(int requests, long tokens) {
+    othersInFlight = requests;
+    othersPromptTokens = tokens;
+  }
+
   /** Returns the smoothed latency of its answers, in milliseconds. */
   public double latencyMs() {
     return latencyMs;
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/fleet/DomainTargets.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/fleet/DomainTargets.java
@@ -11,8 +11,8 @@
 /**
  * Plans how many backend servers each failure domain is to have. It keeps no state.
  *
- * <p>Reclaimable servers cost a fraction of the others. All that the bounds allow are ordered, beside
- * the fewest ordinary ones, so that the servers left after a reclaim still carry the load.
+ * <p>Reclaimable servers cost a fraction of the others. All that the bounds allow are ordered,
+ * beside the fewest ordinary ones, so that the servers left after a reclaim still carry the load.
  */
 public final class DomainTargets {
   private DomainTargets() {}
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/Gateway.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/Gateway.java
@@ -92,14 +92,14 @@
             settings.getVm(),
             System.currentTimeMillis(),
             settings.getFailureDomain(),
-            settings.getCallerAddress());
+            settings.getCallerAddress(),
+            settings.getPeerAddress());
     AtomicReference<GatewayView> view = new AtomicReference<>(GatewayView.empty());
     GatewayControl control =
         new GatewayControl(
             settings, self, outside.store(), outside.reader(), outside.fleet(), view::set);
     return TrafficSide.start(
-            settings,
-            loops,
+            settings, self, loops,
             outside.dialect(),
             view::get,
             control::count,
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/Member.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/Member.java
@@ -9,14 +9,16 @@
  * @param boot start of its process, in milliseconds since 1970
  * @param domain failure domain
  * @param callerAddress address for callers
+ * @param peerAddress address for other entries
  */
-public record Member(String vm, long boot, String domain, String callerAddress) {
+public record Member(
+    String vm, long boot, String domain, String callerAddress, String peerAddress) {
   private static final String SEPARATOR = "|";
-  private static final int PARTS = 4;
+  private static final int PARTS = 5;
 
   /** Returns the text with which the entry joins the group. */
   public String text() {
-    return String.join(SEPARATOR, vm, Long.toString(boot), domain, callerAddress);
+    return String.join(SEPARATOR, vm, Long.toString(boot), domain, callerAddress, peerAddress);
   }
 
   /**
@@ -30,6 +32,7 @@
     if (parts.length != PARTS || !parts[1].matches("\\d{1,18}")) {
       return Optional.empty();
     }
-    return Optional.of(new Member(parts[0], Long.parseLong(parts[1]), parts[2], parts[3]));
+    return Optional.of(
+        new Member(parts[0], Long.parseLong(parts[1]), parts[2], parts[3], parts[4]));
   }
 }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
@@ -141,7 +141,8 @@
   private void seen(Result<StorePage.Records> result) {
     result
         .failure()
-        .ifPresent(failure -> LOG.log(Level.WARNING, "event=duty_read_failed " + failure.message()));
+        .ifPresent(
+            failure -> LOG.log(Level.WARNING, "event=duty_read_failed " + failure.message()));
     result
         .value()
         .ifPresent(
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Exchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Exchange.java
@@ -107,12 +107,12 @@
       giveUp(CallRouting.stale());
       return;
     }
-    choose(view, now.monotonicMs());
+    choose(now.monotonicMs());
   }
 
-  private void choose(GatewayView view, long nowMs) {
+  private void choose(long nowMs) {
     List<ServerLoad> servers = traffic.servers().candidates(call.service(), tried);
-    ServerChooser chooser = traffic.chooser(view);
+    ServerChooser chooser = traffic.chooser();
     if (call.prompt().isEmpty()) {
       run(chooser.plain(servers, nowMs), 0);
       return;
@@ -503,7 +503,7 @@
                 .send(
                     Traffic.address(source.server().address()),
                     HttpCalls.Request.empty(
- HttpMethod.DELETE, traffic.dialect().freePath().apply(source.handle())),
+                        HttpMethod.DELETE, traffic.dialect().freePath().apply(source.handle())),
                     FREE_TIMEOUT_MS,
                     () -> true));
   }
--- /dev/null
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/PeerLoads.java
@@ -0,0 +1,100 @@
+package io.samphiregauge.gateway.traffic;
+
+import io.samphiregauge.core.dispatch.ServerLoad;
+import io.samphiregauge.gateway.Member;
+import io.samphiregauge.gateway.Moment;
+import io.samphiregauge.net.PeerTransport;
+import io.samphiregauge.schema.peer.BackendLoad;
+import io.samphiregauge.schema.peer.BackendLoads;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.zip.CRC32C;
+
+/**
+ * Exchanges with other entries what each has under way at the backend servers. A lost message does
+ * no harm, since the next one replaces it. Used by one event loop.
+ */
+final class PeerLoads {
+  /** Least time between two messages; prompts take about as long to prefill. */
+  private static final long MIN_PERIOD_MS = 150;
+
+  /** With many members messages are sent less often, to bound the work for them. */
+  private static final long PERIOD_MS_PER_MEMBER = 15;
+
+  /** Loads of an entry that falls silent are forgotten. */
+  private static final long MAX_AGE_MS = 1_500;
+
+  private final Traffic traffic;
+  private final Member self;
+  private final PeerTransport transport;
+  private final Map<String, Received> received = new HashMap<>();
+
+  private record Received(BackendLoads loads, long atMs) {}
+
+  PeerLoads(Traffic traffic, Member self, PeerTransport transport) {
+    this.traffic = traffic;
+    this.self = self;
+    this.transport = transport;
+  }
+
+  void start() {
+    send();
+  }
+
+  void take(BackendLoads loads) {
+    received.put(loads.getVm(), new Received(loads, nowMs()));
+    apply();
+  }
+
+  private void send() {
+    List<Member> members = traffic.view().members();
+    traffic.after(Math.max(MIN_PERIOD_MS, members.size() * PERIOD_MS_PER_MEMBER), this::send);
+    BackendLoads own = new BackendLoads(self.vm(), own());
+    for (Member member : members) {
+      if (!member.vm().equals(self.vm())) {
+        transport.send(member.peerAddress(), own);
+      }
+    }
+  }
+
+  private List<BackendLoad> own() {
+    List<BackendLoad> loads = new ArrayList<>();
+    for (ServerLoad load : traffic.servers().all()) {
+      if (load.inFlight() > 0) {
+        loads.add(new BackendLoad(hash(load), load.promptTokens(), load.inFlight()));
+      }
+    }
+    return loads;
+  }
+
+  private void apply() {
+    long oldest = nowMs() - MAX_AGE_MS;
+    received.values().removeIf(last -> last.atMs() < oldest);
+    Map<Integer, int[]> requests = new HashMap<>();
+    Map<Integer, long[]> tokens = new HashMap<>();
+    for (Received last : received.values()) {
+      for (BackendLoad load : last.loads().getLoads()) {
+        requests.computeIfAbsent(load.getBackend(), key -> new int[1])[0] += load.getRunning();
+        tokens.computeIfAbsent(load.getBackend(), key -> new long[1])[0] += load.getPromptTokens();
+      }
+    }
+    for (ServerLoad load : traffic.servers().all()) {
+      int key = hash(load);
+      load.others(
+          requests.getOrDefault(key, new int[1])[0], tokens.getOrDefault(key, new long[1])[0]);
+    }
+  }
+
+  private static int hash(ServerLoad load) {
+    CRC32C crc = new CRC32C();
+    crc.update(load.server().incarnation().getBytes(StandardCharsets.UTF_8));
+    return (int) crc.getValue();
+  }
+
+  private static long nowMs() {
+    return Moment.now().monotonicMs();
+  }
+}
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServerTable.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServerTable.java
@@ -6,6 +6,7 @@
 import io.samphiregauge.core.site.SiteConfig;
 import io.samphiregauge.gateway.GatewayView;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -50,6 +51,11 @@
     return new ServerLoad(server, tokens, EXPECTED_MS);
   }
 
+  /** Returns the servers of all services. */
+  Collection<ServerLoad> all() {
+    return byIncarnation.values();
+  }
+
   /** Returns the servers of a service that a request was not sent to yet. */
   List<ServerLoad> candidates(String service, Set<String> tried) {
     List<ServerLoad> all = byService.getOrDefault(service, List.of());
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Traffic.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Traffic.java
@@ -31,6 +31,7 @@
   private final DecisionLines decisions;
   private final HttpPool pool;
   private final HttpCalls calls;
+  private final ServerChooser chooser;
   private final ServerTable servers = new ServerTable();
   private final Map<String, RepeatBudget> budgets = new HashMap<>();
   private int running;
@@ -54,6 +55,7 @@
     this.decisions = decisions;
     this.pool = new HttpPool(loop, CONNECT_TIMEOUT_MS);
     this.calls = new HttpCalls(loop);
+    this.chooser = new ServerChooser(settings.getFailureDomain());
   }
 
   Dialect dialect() {
@@ -91,8 +93,8 @@
     return servers;
   }
 
-  ServerChooser chooser(GatewayView view) {
-    return new ServerChooser(settings.getFailureDomain(), view.members().size());
+  ServerChooser chooser() {
+    return chooser;
   }
 
   RepeatBudget budget(String service) {
@@ -108,6 +110,10 @@
     loop.schedule(task, delayMs, TimeUnit.MILLISECONDS);
   }
 
+  void execute(Runnable task) {
+    loop.execute(task);
+  }
+
   void began() {
     running++;
   }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/TrafficSide.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/TrafficSide.java
@@ -6,20 +6,30 @@
 import io.samphiregauge.core.RandomSource;
 import io.samphiregauge.core.result.Result;
 import io.samphiregauge.gateway.GatewayView;
+import io.samphiregauge.gateway.Member;
 import io.samphiregauge.gateway.Moment;
 import io.samphiregauge.gateway.port.Dialect;
 import io.samphiregauge.net.HttpLimits;
 import io.samphiregauge.net.HttpServer;
 import io.samphiregauge.net.LogLines;
+import io.samphiregauge.net.PeerReceiver;
+import io.samphiregauge.net.PeerTransport;
 import io.samphiregauge.schema.gateway.EntrySettings;
+import io.samphiregauge.schema.peer.BackendLoads;
+import io.samphiregauge.schema.record.Incarnation;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 
 /** Serves callers. */
 public final class TrafficSide {
+  private static final Logger LOG = System.getLogger(TrafficSide.class.getName());
   private static final Clock CLOCK = () -> Moment.now().monotonicMs();
   private static final RandomSource RANDOM = () -> ThreadLocalRandom.current().nextLong();
 
@@ -37,6 +47,7 @@
    * Starts to serve.
    *
    * @param settings settings of the entry
+   * @param self this entry
    * @param loops event loops; one of them carries all traffic
    * @param dialect how callers and servers write
    * @param views gives the newest view
@@ -47,6 +58,7 @@
    */
   public static Result<TrafficSide> start(
       EntrySettings settings,
+      Member self,
       EventLoopGroup loops,
       Dialect dialect,
       Supplier<GatewayView> views,
@@ -59,15 +71,46 @@
         new Traffic(
             loop, settings, dialect, routing, views, usage, metrics, new DecisionLines(loop, log));
     AtomicBoolean stopping = new AtomicBoolean();
-    return HttpServer.start(
-            loop,
-            Traffic.address(settings.getCallerAddress()),
-            HttpLimits.defaults(),
-            CLOCK,
-            channel -> new CallerHandler(traffic, stopping::get))
+    return startPeerLoads(loops, self, traffic)
+        .flatMap(peers -> listen(settings, loop, traffic, stopping))
         .map(server -> new TrafficSide(metrics, stopping, server));
   }
 
+  private static Result<HttpServer> listen(
+      EntrySettings settings, EventLoop loop, Traffic traffic, AtomicBoolean stopping) {
+    return HttpServer.start(
+        loop,
+        Traffic.address(settings.getCallerAddress()),
+        HttpLimits.defaults(),
+        CLOCK,
+        channel -> new CallerHandler(traffic, stopping::get));
+  }
+
+  private static Result<PeerTransport> startPeerLoads(
+      EventLoopGroup loops, Member self, Traffic traffic) {
+    AtomicReference<Optional<PeerLoads>> loads = new AtomicReference<>(Optional.empty());
+    Incarnation process = new Incarnation(self.vm(), self.boot(), RANDOM.nextLong());
+    PeerReceiver receiver =
+        (from, message) -> {
+          if (message instanceof BackendLoads received) {
+            traffic.execute(() -> loads.get().ifPresent(taker -> taker.take(received)));
+          }
+        };
+    return PeerTransport.start(
+            loops,
+            Traffic.address(self.peerAddress()),
+            process,
+            receiver,
+            failure -> LOG.log(Level.WARNING, "event=peer_failed cause=" + failure.message()))
+        .map(
+            transport -> {
+              PeerLoads exchange = new PeerLoads(traffic, self, transport);
+              loads.set(Optional.of(exchange));
+              traffic.execute(exchange::start);
+              return transport;
+            });
+  }
+
   /** Returns counts and latencies. */
   public GatewayMetrics metrics() {
     return metrics;
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/Codec.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/Codec.java
@@ -17,6 +17,7 @@
 import io.samphiregauge.schema.order.LoadModel;
 import io.samphiregauge.schema.order.StartBackends;
 import io.samphiregauge.schema.order.StopBackend;
+import io.samphiregauge.schema.peer.BackendLoads;
 import io.samphiregauge.schema.peer.IndirectProbe;
 import io.samphiregauge.schema.peer.LoadDigest;
 import io.samphiregauge.schema.peer.MemberDigest;
@@ -98,7 +99,8 @@
           UsageAnswer.class,
           SuspicionNotice.class,
           SuspicionAck.class,
-          LoadDigest.class);
+          LoadDigest.class,
+          BackendLoads.class);
 
   private static final Codec JSON =
       new Codec(JsonMapper.builder().build(), SchemaIntrospector.forObjects(), bytes -> {});
