--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/Gateway.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/Gateway.java
@@ -24,7 +24,7 @@
  * One entry in front of the backend servers of a shared platform.
  *
  * <pre>{@code
- * Result<Gateway> gateway = Gateway.start(settings, loops, outside, log);
+ * Result<Gateway> gateway = Gateway.start(watch, loops, outside, log);
  * }</pre>
  */
 public final class Gateway implements AutoCloseable {
@@ -79,14 +79,15 @@
   /**
    * Starts an entry.
    *
-   * @param settings its settings
+   * @param watch gives its settings
    * @param loops event loops that carry its traffic; closed with the entry
    * @param outside makes the adapter of the platform
    * @param log takes the log lines
    * @return the running entry, or which address is taken
    */
   public static Result<Gateway> start(
-      EntrySettings settings, EventLoopGroup loops, Outside outside, LogLines log) {
+      SettingsWatch watch, EventLoopGroup loops, Outside outside, LogLines log) {
+    EntrySettings settings = watch.get();
     Member self =
         new Member(
             settings.getVm(),
@@ -99,7 +100,9 @@
         new GatewayControl(
             settings, self, outside.store(), outside.reader(), outside.fleet(), view::set);
     return TrafficSide.start(
-            settings, self, loops,
+            watch,
+            self,
+            loops,
             outside.dialect(),
             view::get,
             control::count,
@@ -108,6 +111,7 @@
         .map(
             traffic -> {
               control.start();
+              control.every(SettingsWatch.PERIOD_MS, watch::reload);
               LOG.log(
                   Level.INFO,
                   "event=started vm={0} boot={1} address={2}",
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
@@ -72,6 +72,21 @@
         });
   }
 
+  /**
+   * Runs a task from time to time on the control thread.
+   *
+   * @param periodMs time between two runs, in milliseconds
+   * @param task the task
+   */
+  public void every(long periodMs, Runnable task) {
+    control.after(
+        periodMs,
+        () -> {
+          task.run();
+          every(periodMs, task);
+        });
+  }
+
   /**
    * Counts a request that began to run; safe for all threads.
    *
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/CallRouting.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/CallRouting.java
@@ -13,6 +13,7 @@
 import io.samphiregauge.gateway.port.CallMeta;
 import io.samphiregauge.gateway.port.Dialect;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 
 /** Decides where a request goes, and whether it may run at all. */
 final class CallRouting {
@@ -22,17 +23,17 @@
   private static final long CURRENT_MS = 3_000;
 
   private final Dialect dialect;
-  private final long revocationMs;
+  private final LongSupplier revocationMs;
   private final RandomSource random;
 
   /**
    * Makes the routing of an entry.
    *
    * @param dialect reads the heads of requests
-   * @param revocationMs longest time for which a withdrawn key may still work
+   * @param revocationMs gives the longest time for which a withdrawn key may still work
    * @param random draws the service of a route with several
    */
-  CallRouting(Dialect dialect, long revocationMs, RandomSource random) {
+  CallRouting(Dialect dialect, LongSupplier revocationMs, RandomSource random) {
     this.dialect = dialect;
     this.revocationMs = revocationMs;
     this.random = random;
@@ -79,7 +80,7 @@
 
   /** Returns whether a key that the view knows may still be used. */
   boolean keysCurrent(GatewayView view, Moment now) {
-    return now.since(view.configAsOf()) <= revocationMs;
+    return now.since(view.configAsOf()) <= revocationMs.getAsLong();
   }
 
   /** Returns the refusal of a request whose key may have been withdrawn unseen. */
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventSplitter.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventSplitter.java
@@ -33,7 +33,7 @@
     if (end == pending.readerIndex()) {
       return Optional.empty();
     }
-    ByteBuf events = pending.readRetainedSlice(end - pending.readerIndex());
+    ByteBuf events = pending.readBytes(end - pending.readerIndex());
     lastId = lastIdOf(events).or(() -> lastId);
     return Optional.of(events);
   }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/TrafficSide.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/TrafficSide.java
@@ -46,7 +46,7 @@
   /**
    * Starts to serve.
    *
-   * @param settings settings of the entry
+   * @param settings gives the newest settings of the entry
    * @param self this entry
    * @param loops event loops; one of them carries all traffic
    * @param dialect how callers and servers write
@@ -57,7 +57,7 @@
    * @return the serving side, or why the address could not be bound
    */
   public static Result<TrafficSide> start(
-      EntrySettings settings,
+      Supplier<EntrySettings> settings,
       Member self,
       EventLoopGroup loops,
       Dialect dialect,
@@ -66,21 +66,28 @@
       GatewayMetrics metrics,
       LogLines log) {
     EventLoop loop = loops.next();
-    CallRouting routing = new CallRouting(dialect, settings.getRevocationMs(), RANDOM);
+    CallRouting routing = new CallRouting(dialect, () -> settings.get().getRevocationMs(), RANDOM);
     Traffic traffic =
         new Traffic(
-            loop, settings, dialect, routing, views, usage, metrics, new DecisionLines(loop, log));
+            loop,
+            settings.get(),
+            dialect,
+            routing,
+            views,
+            usage,
+            metrics,
+            new DecisionLines(loop, log));
     AtomicBoolean stopping = new AtomicBoolean();
     return startPeerLoads(loops, self, traffic)
-        .flatMap(peers -> listen(settings, loop, traffic, stopping))
+        .flatMap(peers -> listen(self, loop, traffic, stopping))
         .map(server -> new TrafficSide(metrics, stopping, server));
   }
 
   private static Result<HttpServer> listen(
-      EntrySettings settings, EventLoop loop, Traffic traffic, AtomicBoolean stopping) {
+      Member self, EventLoop loop, Traffic traffic, AtomicBoolean stopping) {
     return HttpServer.start(
         loop,
-        Traffic.address(settings.getCallerAddress()),
+        Traffic.address(self.callerAddress()),
         HttpLimits.defaults(),
         CLOCK,
         channel -> new CallerHandler(traffic, stopping::get));
