--- /dev/null
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/backend/BackendBookTest.java
@@ -0,0 +1,73 @@
+package io.samphiregauge.core.backend;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class BackendBookTest {
+  private final BackendBook book = new BackendBook(1_000);
+
+  private static BackendServer server(String id, long bornMs, boolean draining) {
+    return new BackendServer(
+        id, bornMs, "desk", "10.0.0.1:80", "a", 6, draining, Optional.empty(), false);
+  }
+
+  private void announce(BackendServer server, long nowMs) {
+    book.announce(server.id(), Optional.of(server), nowMs);
+  }
+
+  /** Guards against new work for a server that leaves. */
+  @Test
+  void drainingServerIsNotUsable() {
+    announce(server("s", 1, false), 0);
+    announce(server("s", 1, true), 10);
+    assertThat(book.usable()).isEmpty();
+  }
+
+  /** Guards against a drained server that becomes usable again when its announcement is removed. */
+  @Test
+  void drainedServerGetsNoGrace() {
+    announce(server("s", 1, true), 0);
+    book.announce("s", Optional.empty(), 10);
+    assertThat(book.usable()).isEmpty();
+  }
+
+  /** Guards against an outage of the store that takes all servers away at once. */
+  @Test
+  void lapsedServerStaysUsableForAShortTime() {
+    announce(server("s", 1, false), 0);
+    assertThat(book.announce("s", Optional.empty(), 10)).isTrue();
+    assertThat(book.usable()).hasSize(1);
+    assertThat(book.expire(1_009)).isFalse();
+    assertThat(book.expire(1_010)).isTrue();
+    assertThat(book.usable()).isEmpty();
+  }
+
+  /** Guards against a lapsed server that is listed twice once it is back. */
+  @Test
+  void serverThatCameBackIsListedOnce() {
+    announce(server("s", 1, false), 0);
+    book.announce("s", Optional.empty(), 10);
+    announce(server("s", 2, false), 20);
+    assertThat(book.usable()).containsExactly(server("s", 2, false));
+  }
+
+  /** Guards against a server that left while the history of changes was lost. */
+  @Test
+  void replacingDropsWhatIsGone() {
+    announce(server("s", 1, false), 0);
+    announce(server("t", 1, false), 0);
+    assertThat(book.replace(Map.of("t", server("t", 1, false)), 10)).isTrue();
+    book.expire(1_010);
+    assertThat(book.usable()).containsExactly(server("t", 1, false));
+  }
+
+  /** Guards against work on each heartbeat that says nothing new. */
+  @Test
+  void heartbeatWithoutNewsChangesNothing() {
+    announce(server("s", 1, false), 0);
+    assertThat(book.announce("s", Optional.of(server("s", 1, false)), 10)).isFalse();
+  }
+}
--- /dev/null
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/dispatch/ServerChooserTest.java
@@ -0,0 +1,135 @@
+package io.samphiregauge.core.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.samphiregauge.core.backend.BackendServer;
+import io.samphiregauge.core.backend.EngineStage;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class ServerChooserTest {
+  private static final long NOW_MS = 1_000;
+  private final ServerChooser chooser = new ServerChooser("a");
+
+  private static ServerLoad server(String id, String domain, Optional<EngineStage> stage) {
+    return new ServerLoad(
+        new BackendServer(id, 1, "s", "10.0.0.1:80", domain, 6, false, stage, false), 500_000, 40);
+  }
+
+  private static List<ServerLoad> engines() {
+    List<ServerLoad> engines = new ArrayList<>();
+    for (int i = 0; i < 3; i++) {
+      engines.add(server("p" + i, "a", Optional.of(EngineStage.PREFILL)));
+      engines.add(server("d" + i, "a", Optional.of(EngineStage.DECODE)));
+    }
+    return engines;
+  }
+
+  private static Prompt prompt(String shared, int sharedTokens, int ownTokens) {
+    return new Prompt(
+        sharedTokens + ownTokens,
+        20,
+        List.of(new PromptPart(shared, sharedTokens), new PromptPart("own", ownTokens)));
+  }
+
+  private String choice(Prompt prompt, List<ServerLoad> engines) {
+    return chooser.prefill(prompt, engines, NOW_MS).orElseThrow().server().server().id();
+  }
+
+  /** Guards against shared parts that each entry has prefilled at an engine of its own. */
+  @Test
+  void entriesAgreeOnTheEngineOfAPrompt() {
+    Set<String> chosen = new HashSet<>();
+    for (int part = 0; part < 50; part++) {
+      Prompt prompt = prompt("part" + part, 13_000, 3_000);
+      String here = choice(prompt, engines());
+      chosen.add(here);
+      ServerChooser elsewhere = new ServerChooser("b");
+      List<ServerLoad> reversed = new ArrayList<>(engines());
+      Collections.reverse(reversed);
+      assertThat(elsewhere.prefill(prompt, reversed, NOW_MS).orElseThrow().server().server().id())
+          .isEqualTo(here);
+    }
+    assertThat(chosen).hasSizeGreaterThan(3);
+  }
+
+  /** Guards against a prompt that waits behind a long queue only because it is cached there. */
+  @Test
+  void longQueueOutweighsTheCache() {
+    Prompt prompt = prompt("part", 13_000, 3_000);
+    List<ServerLoad> engines = engines();
+    String home = choice(prompt, engines);
+    ServerLoad full =
+        engines.stream().filter(load -> load.server().id().equals(home)).findFirst().orElseThrow();
+    full.others(40, 200_000);
+    assertThat(choice(prompt, engines)).isNotEqualTo(home);
+  }
+
+  /** Guards against a short queue that drives a prompt away from the engine that caches it. */
+  @Test
+  void shortQueueDoesNotOutweighTheCache() {
+    Prompt prompt = prompt("part", 13_000, 3_000);
+    List<ServerLoad> engines = engines();
+    String home = choice(prompt, engines);
+    engines.stream()
+        .filter(load -> load.server().id().equals(home))
+        .forEach(load -> load.others(1, 3_000));
+    assertThat(choice(prompt, engines)).isEqualTo(home);
+  }
+
+  /** Guards against a prompt that is prefilled although no engine can generate. */
+  @Test
+  void nothingIsPrefilledWithoutAnEngineThatGenerates() {
+    List<ServerLoad> engines = List.of(server("p", "a", Optional.of(EngineStage.PREFILL)));
+    assertThat(chooser.prefill(prompt("part", 100, 10), engines, NOW_MS)).isEmpty();
+    assertThat(chooser.decode(engines, "a", NOW_MS)).isEmpty();
+  }
+
+  /** Guards against a server that was just found dead and keeps getting requests. */
+  @Test
+  void avoidsAServerThatCannotBeReached() {
+    ServerLoad dead = server("x", "a", Optional.empty());
+    ServerLoad far = server("y", "b", Optional.empty());
+    dead.unreachable(NOW_MS);
+    assertThat(chooser.plain(List.of(dead, far), NOW_MS)).contains(far);
+    assertThat(chooser.plain(List.of(dead), NOW_MS)).contains(dead);
+  }
+
+  /** Guards against a server that hangs and gets more requests than those that answer. */
+  @Test
+  void prefersTheServerWithFewerRequests() {
+    ServerLoad busy = server("x", "a", Optional.empty());
+    ServerLoad idle = server("y", "b", Optional.empty());
+    busy.sent(0);
+    assertThat(chooser.plain(List.of(busy, idle), NOW_MS)).contains(idle);
+  }
+
+  /** Guards against a memory model that never forgets. */
+  @Test
+  void prefixMemoryEvictsTheLeastRecentlyUsed() {
+    PrefixMemory memory = new PrefixMemory(10_000);
+    memory.add(prompt("old", 5_000, 10));
+    memory.add(prompt("new", 5_000, 10));
+    assertThat(memory.cachedTokens(prompt("old", 5_000, 10))).isZero();
+    assertThat(memory.cachedTokens(prompt("new", 5_000, 20))).isEqualTo(5_020);
+  }
+
+  /** Guards against repeats beyond the share that all entries may send together. */
+  @Test
+  void repeatBudgetStaysWithinItsShare() {
+    RepeatBudget budget = new RepeatBudget(0.2, 54);
+    int repeats = 0;
+    for (int i = 0; i < 1_000; i++) {
+      budget.request();
+      while (budget.tryRepeat()) {
+        repeats++;
+      }
+    }
+    assertThat(repeats).isLessThanOrEqualTo(200 + 54 / 7).isGreaterThan(50);
+  }
+}
--- /dev/null
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/duty/UsageTallyTest.java
@@ -0,0 +1,49 @@
+package io.samphiregauge.core.duty;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.samphiregauge.schema.gateway.SealedUsage;
+import io.samphiregauge.schema.gateway.UsageRecord;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class UsageTallyTest {
+  private static UsageRecord counts(String vm, long boot, long window, Map<String, Long> teams) {
+    return new UsageRecord(vm, boot, List.of(new SealedUsage(window, teams)));
+  }
+
+  /** Guards against requests that are charged twice because a record came twice or late. */
+  @Test
+  void repeatedAndOlderRecordsChangeNothing() {
+    UsageTally tally = new UsageTally();
+    tally.merge(counts("a", 1, 7, Map.of("x", 3L)));
+    tally.merge(counts("a", 1, 7, Map.of("x", 5L)));
+    tally.merge(counts("a", 1, 7, Map.of("x", 5L)));
+    tally.merge(counts("a", 1, 7, Map.of("x", 3L)));
+    assertThat(tally.total(7).getCounts()).containsExactly(Map.entry("x", 5L));
+  }
+
+  /** Guards against a restarted process whose counts hide those of the process before it. */
+  @Test
+  void addsTheCountsOfAllProcesses() {
+    UsageTally tally = new UsageTally();
+    tally.merge(counts("a", 1, 7, Map.of("x", 5L)));
+    tally.merge(counts("a", 2, 7, Map.of("x", 2L, "y", 1L)));
+    tally.merge(counts("b", 1, 7, Map.of("y", 4L)));
+    assertThat(tally.total(7).getCounts()).containsOnly(Map.entry("x", 7L), Map.entry("y", 5L));
+  }
+
+  /** Guards against memory that grows with each window. */
+  @Test
+  void carriesTheNewestWindowsOnly() {
+    UsageTally tally = new UsageTally();
+    for (long window = 0; window < 100; window++) {
+      tally.count("a@1", window, "x");
+    }
+    assertThat(tally.newest("a@1"))
+        .extracting(SealedUsage::getWindow)
+        .containsExactly(97L, 98L, 99L);
+    assertThat(tally.total(3).getCounts()).isEmpty();
+  }
+}
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Attempt.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Attempt.java
@@ -30,6 +30,11 @@
     return prefillOnly;
   }
 
+  /** Returns the prompt tokens that the server has to prefill. */
+  long promptTokens() {
+    return promptTokens;
+  }
+
   /** Returns whether the request went out; before that it cannot have run. */
   boolean written() {
     return connection.isPresent();
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Exchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Exchange.java
@@ -168,10 +168,12 @@
     }
     log(
         current.prefillOnly() ? "prefill" : "forward",
-        "backend=%s in_flight=%d send=%d left_ms=%d"
+        "backend=%s in_flight=%d queued_tokens=%d tokens=%d send=%d left_ms=%d"
             .formatted(
                 current.load().server().incarnation(),
-                current.load().inFlight(),
+                current.load().allInFlight(),
+                current.load().allPromptTokens(),
+                current.promptTokens(),
                 sends,
                 call.untilMs() - nowMs()));
     connection.send(
@@ -278,6 +280,7 @@
       return;
     }
     counted = true;
+    log("first_event", "took_ms=%d since_ms=%d".formatted(current.tookMs(), sinceArrivalMs()));
     current.prefilled();
     current.load().answered(current.tookMs());
     call.prompt().ifPresent(prompt -> current.load().prefixes().add(prompt));
