Order reclaimable engines only, and repeat orders where servers are missing

Cause: an accepted order brings fewer servers than it names while ordinary ones still count against the bound, and reclaimed servers do not come back.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/fleet/DomainTarget.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/fleet/DomainTarget.java
@@ -1,5 +1,7 @@
 package io.samphiregauge.core.fleet;
 
+import io.samphiregauge.core.backend.BackendServer;
+
 /**
  * Number of backend servers of one kind that a service is to have in a failure domain.
  *
@@ -7,17 +9,19 @@
  * @param domain failure domain
  * @param reclaimable whether these are servers that may be taken away at short notice
  * @param servers their number
+ * @param bootMs time until a new server serves, in milliseconds
  */
-public record DomainTarget(String service, String domain, boolean reclaimable, int servers) {
+public record DomainTarget(
+    String service, String domain, boolean reclaimable, int servers, long bootMs) {
   /**
-   * Returns whether another target is for the same servers.
+   * Returns whether a server is one of those that the target counts.
    *
-   * @param other the other target
-   * @return whether only the number may differ
+   * @param server the server
+   * @return whether service, failure domain and kind are the same
    */
-  public boolean sameServers(DomainTarget other) {
-    return service.equals(other.service)
-        && domain.equals(other.domain)
-        && reclaimable == other.reclaimable;
+  public boolean includes(BackendServer server) {
+    return server.service().equals(service)
+        && server.domain().equals(domain)
+        && server.reclaimable() == reclaimable;
   }
 }
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/fleet/DomainTargets.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/fleet/DomainTargets.java
@@ -36,11 +36,12 @@
     List<DomainTarget> removed = new ArrayList<>();
     for (String domain : new TreeSet<>(scaling.domainPrices().keySet())) {
       boolean cheap = scaling.reclaimableShare() < 1;
-      int ordinary = cheap ? scaling.min() : scaling.max();
+      int ordinary = cheap ? 0 : scaling.max();
       if (cheap) {
-        added.add(new DomainTarget(service, domain, true, scaling.max() - ordinary));
+        added.add(
+            new DomainTarget(service, domain, true, scaling.max() - ordinary, scaling.bootMs()));
       }
-      removed.add(new DomainTarget(service, domain, false, ordinary));
+      removed.add(new DomainTarget(service, domain, false, ordinary, scaling.bootMs()));
     }
     added.addAll(removed);
     return added;
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
@@ -56,7 +56,7 @@
                     api,
                     group,
                     usage,
-                    new FleetOrders(control, api, this::targets),
+                    new FleetOrders(control, api, this::targets, this::present),
                     self,
                     new DutyWorker.DutyTimes(settings.getLeaseMs(), windowMs)));
   }
@@ -124,6 +124,10 @@
         .orElse(List.of());
   }
 
+  private int present(DomainTarget target) {
+    return (int) site.servers().stream().filter(target::includes).count();
+  }
+
   private void publish() {
     publisher.accept(
         new GatewayView(
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Exchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Exchange.java
@@ -424,6 +424,8 @@
       return;
     }
     fateUnknown = true;
+    // Most servers that lose an answer have run the request, and it is charged.
+    countRun(current);
     kv = Optional.empty();
     output.dropPartialEvent();
     if (call.route().rule().repeatable() && mayRepeat()) {
