--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerChooser.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerChooser.java
@@ -16,17 +16,17 @@
   /** Cost of a failure, as a multiple of the share of failed answers. */
   private static final double FAILURE_COST_MS = 400;
 
-  /** Prompt tokens that an engine prefills in a millisecond while it does nothing else. */
-  private static final double PREFILL_TOKENS_PER_MS = 50;
+  /** Prompt tokens that a prefill engine works off in a millisecond, from measured queues. */
+  private static final double PREFILL_TOKENS_PER_MS = 31;
 
   /** The same for an engine that generates tokens at the same time. */
-  private static final double SHARED_PREFILL_TOKENS_PER_MS = 16;
+  private static final double SHARED_PREFILL_TOKENS_PER_MS = 8;
 
   /** Added to each token's time by each request that an engine generates for. */
   private static final double RUNNING_REQUEST_MS = 2;
 
-  /** Time and price of moving a KV cache to the engine that generates. */
-  private static final double HAND_OVER_MS = 40;
+  /** Time of a second engine's start on a request, and the price of moving the KV cache. */
+  private static final double HAND_OVER_MS = 100;
 
   /** Price of prefilling a shared token again, beside the time that it takes. */
   private static final double REREAD_MS_PER_TOKEN = 0.02;
