--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/duty/UsageTally.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/duty/UsageTally.java
@@ -4,8 +4,10 @@
 import io.samphiregauge.schema.gateway.UsageRecord;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 /**
@@ -22,6 +24,9 @@
   /** Windows that a record carries; older ones were in the records before. */
   private static final int RECORD_WINDOWS = 3;
 
+  /** Windows before one in which a process counted that should also have counted in it. */
+  private static final int EARLIER_WINDOWS = 2;
+
   private final TreeMap<Long, Map<String, Map<String, Long>>> windows = new TreeMap<>();
 
   /**
@@ -84,6 +89,24 @@
     return new SealedUsage(window, total);
   }
 
+  /**
+   * Returns whether the counts of a window are whole: each process that counted in it, or in the
+   * two windows before it, has already written counts of a later one.
+   *
+   * @param window number of the window
+   * @return whether no process is known whose counts may be missing
+   */
+  public boolean isWhole(long window) {
+    Set<String> counting = new HashSet<>();
+    windows
+        .subMap(window - EARLIER_WINDOWS, true, window, true)
+        .values()
+        .forEach(counts -> counting.addAll(counts.keySet()));
+    Set<String> later = new HashSet<>();
+    windows.tailMap(window, false).values().forEach(counts -> later.addAll(counts.keySet()));
+    return later.containsAll(counting);
+  }
+
   private Map<String, Long> counts(String process, long window) {
     return windows
         .computeIfAbsent(window, key -> new HashMap<>())
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/duty/UsageTallyTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/duty/UsageTallyTest.java
@@ -34,6 +34,20 @@
     assertThat(tally.total(7).getCounts()).containsOnly(Map.entry("x", 7L), Map.entry("y", 5L));
   }
 
+  /** Guards against a window that is reported while an entry cannot reach the store. */
+  @Test
+  void windowIsWholeOnceAllProcessesHaveCountedLater() {
+    UsageTally tally = new UsageTally();
+    tally.merge(counts("a", 1, 6, Map.of("x", 5L)));
+    tally.merge(counts("b", 1, 6, Map.of("x", 5L)));
+    tally.merge(counts("a", 1, 7, Map.of("x", 5L)));
+    tally.merge(counts("a", 1, 8, Map.of("x", 5L)));
+    assertThat(tally.isWhole(7)).isFalse();
+    tally.merge(counts("b", 1, 8, Map.of("x", 1L)));
+    assertThat(tally.isWhole(7)).isTrue();
+    assertThat(tally.isWhole(8)).isFalse();
+  }
+
   /** Guards against memory that grows with each window. */
   @Test
   void carriesTheNewestWindowsOnly() {
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/Gateway.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/Gateway.java
@@ -10,6 +10,7 @@
 import io.samphiregauge.gateway.port.SiteReader;
 import io.samphiregauge.gateway.traffic.GatewayMetrics;
 import io.samphiregauge.gateway.traffic.TrafficSide;
+import io.samphiregauge.net.Address;
 import io.samphiregauge.net.LogLines;
 import io.samphiregauge.schema.gateway.EntrySettings;
 import java.lang.System.Logger;
@@ -122,6 +123,11 @@
             });
   }
 
+  /** Returns the address for callers, with the port that was taken. */
+  public Address address() {
+    return traffic.address();
+  }
+
   /** Returns whether callers are to be sent here. */
   public boolean ready() {
     GatewayView now = view.get();
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
@@ -43,8 +43,11 @@
   /** The lease is longer than the time in which two holders must not act by turns. */
   private static final long LEASE_EXTRA_MS = 500;
 
-  /** Records of a window that arrive later than this after its end are left out. */
-  private static final long SEAL_AFTER_MS = 2_000;
+  /** Time after a window's end until the first records of the next window are in the store. */
+  private static final long SEAL_AFTER_MS = 1_700;
+
+  /** Part of the time until a report is due in which missing records are waited for. */
+  private static final double WAIT_SHARE = 0.7;
 
   private static final int KEPT_SEALED = 3;
 
@@ -74,8 +77,9 @@
    *
    * @param leaseMs time for which two holders must not act by turns
    * @param windowMs length of a usage window
+   * @param lateMs time from the end of a window to the due time of its report
    */
-  record DutyTimes(long leaseMs, long windowMs) {}
+  record DutyTimes(long leaseMs, long windowMs, long lateMs) {}
 
   DutyWorker(
       ControlThread control,
@@ -248,7 +252,7 @@
       // Before the first entry started, there was no traffic to report.
       first = Math.max(first, firstOfProcess);
     }
-    for (long window = first; window <= sealUpTo; window++) {
+    for (long window = first; window <= sealUpTo && mayBeSealed(window); window++) {
       sealed.add(tally.total(window));
     }
     while (sealed.size() > KEPT_SEALED) {
@@ -263,6 +267,12 @@
         Math.max(value.getReportedWindow(), reportedWindow));
   }
 
+  /** A window waits for entries that cannot reach the store, as long as its report is not late. */
+  private boolean mayBeSealed(long window) {
+    long endedAgoMs = counter.millis() - (window + 1) * times.windowMs();
+    return tally.isWhole(window) || endedAgoMs >= times.lateMs() * WAIT_SHARE;
+  }
+
   /** Reads the records of all processes that came since the last time. */
   private void collect(Runnable next) {
     control.take(
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
@@ -58,7 +58,8 @@
                     usage,
                     new FleetOrders(control, api, this::targets, this::present),
                     self,
-                    new DutyWorker.DutyTimes(settings.getLeaseMs(), windowMs)));
+                    new DutyWorker.DutyTimes(
+                        settings.getLeaseMs(), windowMs, settings.getUsageLateS() * MS_PER_S)));
   }
 
   /** Starts to follow the store. */
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/TrafficSide.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/TrafficSide.java
@@ -9,6 +9,7 @@
 import io.samphiregauge.gateway.Member;
 import io.samphiregauge.gateway.Moment;
 import io.samphiregauge.gateway.port.Dialect;
+import io.samphiregauge.net.Address;
 import io.samphiregauge.net.HttpLimits;
 import io.samphiregauge.net.HttpServer;
 import io.samphiregauge.net.LogLines;
@@ -118,6 +119,11 @@
             });
   }
 
+  /** Returns the address for callers, with the port that was taken. */
+  public Address address() {
+    return server.address();
+  }
+
   /** Returns counts and latencies. */
   public GatewayMetrics metrics() {
     return metrics;
