Keep requests that end their servers away from further servers

A lost answer counts only if its server cannot be reached or has started again; entries tell each other through the store. Exchange is split by job.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerLoad.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerLoad.java
@@ -25,6 +25,7 @@
   private double failureShare;
   private int failuresInRow;
   private long avoidUntilMs = Long.MIN_VALUE;
+  private boolean unreachable;
 
   /**
    * Makes the load of a server that nothing is known of.
@@ -134,6 +135,7 @@
     latencyMs += LATENCY_WEIGHT * (tookMs - latencyMs);
     failureShare -= FAILURE_WEIGHT * failureShare;
     failuresInRow = 0;
+    unreachable = false;
     avoidUntilMs = Long.MIN_VALUE;
   }
 
@@ -156,10 +158,16 @@
    * @param nowMs monotonic time
    */
   public void unreachable(long nowMs) {
+    unreachable = true;
     failuresInRow = Math.max(failuresInRow + 1, FAILURES_UNTIL_AVOIDED);
     avoid(nowMs);
   }
 
+  /** Returns whether the last connection could not be opened, and no answer came since. */
+  public boolean isUnreachable() {
+    return unreachable;
+  }
+
   private void avoid(long nowMs) {
     int doublings = Math.min(failuresInRow - FAILURES_UNTIL_AVOIDED, 3);
     avoidUntilMs = nowMs + Math.min(MAX_AVOIDANCE_MS, FIRST_AVOIDANCE_MS << doublings);
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/Gateway.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/Gateway.java
@@ -107,11 +107,12 @@
             outside.dialect(),
             view::get,
             control::count,
+            control::crashed,
             new GatewayMetrics(),
             log)
         .map(
             traffic -> {
-              control.start();
+              control.start(traffic::crashed);
               control.every(SettingsWatch.PERIOD_MS, watch::reload);
               LOG.log(
                   Level.INFO,
--- /dev/null
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/CrashFollower.java
@@ -0,0 +1,85 @@
+package io.samphiregauge.gateway.control;
+
+import io.samphiregauge.core.result.Result;
+import io.samphiregauge.gateway.Moment;
+import io.samphiregauge.gateway.port.SharedStore;
+import io.samphiregauge.gateway.port.StorePage;
+import io.samphiregauge.gateway.port.StoreRecord;
+import io.samphiregauge.gateway.port.Topic;
+import io.samphiregauge.net.Codec;
+import io.samphiregauge.schema.gateway.CrashRecord;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.function.Consumer;
+
+/** Follows the requests whose servers ended, as all entries publish them. */
+final class CrashFollower {
+  private static final Logger LOG = System.getLogger(CrashFollower.class.getName());
+
+  /** Crashes are rare, so that each read waits long and few are paid for. */
+  private static final int WAIT_MS = 10_000;
+
+  private static final long RETRY_MS = 2_000;
+
+  /** A store that does not know the topic yet may answer at once. */
+  private static final long MIN_PERIOD_MS = 1_000;
+
+  private final ControlThread control;
+  private final SharedStore store;
+  private final Consumer<CrashRecord> taker;
+  private long nextOffset;
+
+  CrashFollower(ControlThread control, SharedStore store, Consumer<CrashRecord> taker) {
+    this.control = control;
+    this.store = store;
+    this.taker = taker;
+  }
+
+  void start() {
+    Moment asked = Moment.now();
+    control.take(
+        store.tail().read(Topic.CRASHES, nextOffset, WAIT_MS), result -> next(result, asked));
+  }
+
+  private void next(Result<StorePage> result, Moment asked) {
+    // Where the store is lost, the other followers log it.
+    result.fold(
+        page -> {
+          take(page);
+          control.after(Math.max(0, MIN_PERIOD_MS - Moment.now().since(asked)), this::start);
+          return true;
+        },
+        failure -> {
+          control.after(RETRY_MS, this::start);
+          return false;
+        });
+  }
+
+  private void take(StorePage page) {
+    if (page instanceof StorePage.Expired expired) {
+      nextOffset = expired.firstOffset();
+      return;
+    }
+    StorePage.Records records = (StorePage.Records) page;
+    records.records().forEach(this::take);
+    nextOffset = records.nextOffset();
+  }
+
+  private void take(StoreRecord entry) {
+    entry
+        .value()
+        .ifPresent(
+            bytes ->
+                Codec.json()
+                    .decode(bytes, CrashRecord.class)
+                    .fold(
+                        crash -> {
+                          taker.accept(crash);
+                          return true;
+                        },
+                        failure -> {
+                          LOG.log(Level.ERROR, "event=crash_unreadable " + failure.message());
+                          return false;
+                        }));
+  }
+}
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
@@ -8,17 +8,27 @@
 import io.samphiregauge.gateway.port.FleetApi;
 import io.samphiregauge.gateway.port.SharedStore;
 import io.samphiregauge.gateway.port.SiteReader;
+import io.samphiregauge.gateway.port.StoreRecord;
+import io.samphiregauge.gateway.port.Topic;
+import io.samphiregauge.net.Codec;
+import io.samphiregauge.schema.gateway.CrashRecord;
 import io.samphiregauge.schema.gateway.EntrySettings;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 
 /** Everything that the control thread does, and the view that it publishes. */
 public final class GatewayControl implements AutoCloseable {
   private static final long MS_PER_S = 1_000;
 
+  private static final Logger LOG = System.getLogger(GatewayControl.class.getName());
+
   private final ControlThread control = new ControlThread();
 
+  private final SharedStore store;
   private final SiteFollower site;
   private final GroupFollower group;
   private final UsageCounter usage;
@@ -43,6 +53,7 @@
       Optional<FleetApi> fleet,
       Consumer<GatewayView> publisher) {
     this.publisher = publisher;
+    this.store = store;
     this.site = new SiteFollower(control, store, reader, settings.getDrainMs(), this::publish);
     this.group = new GroupFollower(control, store, self, this::publish);
     long windowMs = settings.getUsageWindowS() * MS_PER_S;
@@ -62,10 +73,15 @@
                         settings.getLeaseMs(), windowMs, settings.getUsageLateS() * MS_PER_S)));
   }
 
-  /** Starts to follow the store. */
-  public void start() {
+  /**
+   * Starts to follow the store.
+   *
+   * @param crashes takes each crash that another entry has published
+   */
+  public void start(Consumer<CrashRecord> crashes) {
     control.post(
         () -> {
+          new CrashFollower(control, store, crashes).start();
           site.start();
           group.start();
           usage.start();
@@ -73,6 +89,24 @@
         });
   }
 
+  /**
+   * Tells the other entries of a request whose server ended; safe for all threads.
+   *
+   * @param crash the request and its server
+   */
+  public void crashed(CrashRecord crash) {
+    StoreRecord entry = new StoreRecord("", Optional.of(Codec.json().encode(crash)));
+    control.take(
+        store.append().append(Topic.CRASHES, entry, OptionalLong.empty()),
+        result ->
+            LOG.log(
+                Level.INFO,
+                "event=crash_published backend={0} fingerprint={1} ok={2}",
+                crash.getBackend(),
+                crash.getFingerprint(),
+                Boolean.toString(result.value().isPresent())));
+  }
+
   /**
    * Runs a task from time to time on the control thread.
    *
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Exchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Exchange.java
@@ -2,14 +2,10 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.samphiregauge.core.dispatch.Prompt;
@@ -18,10 +14,8 @@
 import io.samphiregauge.core.result.Failure;
 import io.samphiregauge.gateway.GatewayView;
 import io.samphiregauge.gateway.Moment;
-import io.samphiregauge.gateway.port.Forwarding;
 import io.samphiregauge.gateway.port.KvSource;
 import io.samphiregauge.net.AnswerSink;
-import io.samphiregauge.net.HttpCalls;
 import io.samphiregauge.net.HttpConnection;
 import java.util.HashSet;
 import java.util.List;
@@ -44,30 +38,33 @@
 
   private static final long RETRY_SOON_MS = 250;
 
+  /** When a caller may try again with a request that brought down several servers. */
+  private static final long BLOCKED_MS = 5_000;
+
   /** Connections that may fail to open before the request is refused; nothing was sent then. */
   private static final int MAX_CONNECT_FAILURES = 3;
 
-  private static final int FREE_TIMEOUT_MS = 1_000;
-
   private final Traffic traffic;
   private final ChannelHandlerContext caller;
   private final RelayedCall call;
   private final CallerSide output;
+  private final KvHold kv;
+  private final RunCharge charge;
   private final Set<String> tried = new HashSet<>();
   private Optional<Attempt> attempt = Optional.empty();
   private Optional<ServerAnswer> answer = Optional.empty();
-  private Optional<KvSource> kv = Optional.empty();
   private int sends;
   private int connectFailures;
   private boolean prefillFailed;
   private boolean fateUnknown;
-  private boolean counted;
   private boolean over;
 
   Exchange(Traffic traffic, ChannelHandlerContext caller, RelayedCall call) {
     this.traffic = traffic;
     this.caller = caller;
     this.call = call;
+    this.kv = new KvHold(traffic);
+    this.charge = new RunCharge(traffic, call);
     this.output = new CallerSide(caller, call.route().rule().stream());
   }
 
@@ -103,6 +100,10 @@
       giveUp(Refusal.late("No time is left to send the request."));
       return;
     }
+    if (traffic.crashes().isBlocked(call)) {
+      giveUp(Refusal.notRun("crashes_servers", "The request ends its servers.", BLOCKED_MS));
+      return;
+    }
     if (call.team().isPresent() && !traffic.routing().keysCurrent(view, now)) {
       giveUp(CallRouting.stale());
       return;
@@ -118,8 +119,8 @@
       return;
     }
     Prompt prompt = call.prompt().orElseThrow();
-    if (kv.isPresent()) {
-      run(chooser.decode(servers, kv.orElseThrow().server().domain(), nowMs), 0);
+    if (kv.source().isPresent()) {
+      run(chooser.decode(servers, kv.source().orElseThrow().server().domain(), nowMs), 0);
       return;
     }
     List<ServerLoad> usable =
@@ -206,31 +207,13 @@
   }
 
   private FullHttpRequest request(Attempt current) {
-    FullHttpRequest original = call.request();
-    FullHttpRequest request =
-        new DefaultFullHttpRequest(
-            HttpVersion.HTTP_1_1,
-            original.method(),
-            original.uri(),
-            original.content().retainedDuplicate());
-    request.headers().set(original.headers());
-    Answers.removeConnectionHeaders(request.headers());
-    request.headers().remove(HttpHeaderNames.EXPECT);
-    int length = original.content().readableBytes();
-    if (length > 0 || !original.method().equals(HttpMethod.GET)) {
-      request.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
-    }
-    Forwarding forwarding =
-        new Forwarding(
-            current.load().server(),
-            call.untilMs() - nowMs(),
-            call.team().map(team -> team.name()),
-            call.rank(),
-            current.prefillOnly(),
-            current.prefillOnly() ? Optional.empty() : kv,
-            output.lastEventId().or(() -> call.meta().resumeAfter()));
-    traffic.dialect().forward().accept(request.headers(), forwarding);
-    return request;
+    return OutboundRequest.of(
+        call,
+        current,
+        kv.source(),
+        output.lastEventId().or(() -> call.meta().resumeAfter()),
+        call.untilMs() - nowMs(),
+        traffic.dialect());
   }
 
   private boolean isOwn(HttpResponse head) {
@@ -276,23 +259,19 @@
 
   /** Notes the first sign that the request runs. */
   private void began(Attempt current) {
-    if (counted) {
-      return;
+    if (charge.charge(Moment.now())) {
+      log("first_event", "took_ms=%d since_ms=%d".formatted(current.tookMs(), sinceArrivalMs()));
+      current.prefilled();
+      current.load().answered(current.tookMs());
+      call.prompt().ifPresent(prompt -> current.load().prefixes().add(prompt));
     }
-    counted = true;
-    log("first_event", "took_ms=%d since_ms=%d".formatted(current.tookMs(), sinceArrivalMs()));
-    current.prefilled();
-    current.load().answered(current.tookMs());
-    call.prompt().ifPresent(prompt -> current.load().prefixes().add(prompt));
-    call.team().ifPresent(team -> traffic.countUsage(team.name(), Moment.now()));
-    traffic.metrics().took("first_byte." + call.route().rule(), sinceArrivalMs());
   }
 
   private void complete(Attempt current, ServerAnswer from) {
     if (from.isRejection()) {
       rejected(current, from);
     } else if (from.isUnsealedSuccess() && !current.prefillOnly()) {
-      lost(current, new Spoiled("the success is not sealed"));
+      lost(current, new SpoiledAnswer("the success is not sealed"));
     } else if (current.prefillOnly()) {
       prefilled(current, from);
     } else if (isRelayedStream(current, from)) {
@@ -314,7 +293,7 @@
     }
     current.load().answered(current.tookMs());
     call.prompt().ifPresent(prompt -> current.load().prefixes().add(prompt));
-    kv = Optional.of(new KvSource(current.load().server(), handle.orElseThrow()));
+    kv.hold(new KvSource(current.load().server(), handle.orElseThrow()));
     next();
   }
 
@@ -334,10 +313,11 @@
 
   private void streamEnded(Attempt current, ServerAnswer from) {
     if (output.hasPartialEvent()) {
-      lost(current, new Spoiled("the stream ended within an event"));
+      lost(current, new SpoiledAnswer("the stream ended within an event"));
       return;
     }
     current.end();
+    traffic.crashes().answered(call);
     current.load().answered(current.tookMs());
     began(current);
     output.endStream(from.head());
@@ -347,12 +327,13 @@
 
   private void answered(Attempt current, ServerAnswer from) {
     current.end();
+    traffic.crashes().answered(call);
     if (from.isServerError()) {
       current.load().failed(nowMs());
     } else {
       current.load().answered(current.tookMs());
     }
-    countRun(current);
+    charge.charge(current.sent());
     if (output.begun()) {
       broken("a server answered with status " + from.status() + " instead of going on");
       return;
@@ -376,14 +357,6 @@
     finish();
   }
 
-  private void countRun(Attempt current) {
-    if (!counted) {
-      counted = true;
-      call.team().ifPresent(team -> traffic.countUsage(team.name(), current.sent()));
-      traffic.metrics().took("first_byte." + call.route().rule(), sinceArrivalMs());
-    }
-  }
-
   private void rejected(Attempt current, ServerAnswer from) {
     current.end();
     if (from.isMisdirected()) {
@@ -395,9 +368,9 @@
       prefillFailed(current, "rejected with status " + from.status());
       return;
     }
-    if (kv.isPresent()) {
+    if (kv.source().isPresent()) {
       // The KV cache may be gone; the engine itself can still serve the request.
-      freeKv();
+      kv.free();
     } else {
       tried.add(server);
     }
@@ -425,8 +398,9 @@
     }
     fateUnknown = true;
     // Most servers that lose an answer have run the request, and it is charged.
-    countRun(current);
-    kv = Optional.empty();
+    charge.charge(current.sent());
+    traffic.crashes().lost(call, current.load());
+    kv.forget();
     output.dropPartialEvent();
     if (call.route().rule().repeatable() && mayRepeat()) {
       next();
@@ -494,25 +468,10 @@
   private void freeUnusedKv() {
     boolean taken = attempt.filter(a -> a.written() && !a.prefillOnly()).isPresent();
     if (!taken) {
-      freeKv();
+      kv.free();
     }
   }
 
-  private void freeKv() {
-    Optional<KvSource> unused = kv;
-    kv = Optional.empty();
-    unused.ifPresent(
-        source ->
-            traffic
-                .calls()
-                .send(
-                    Traffic.address(source.server().address()),
-                    HttpCalls.Request.empty(
-                        HttpMethod.DELETE, traffic.dialect().freePath().apply(source.handle())),
-                    FREE_TIMEOUT_MS,
-                    () -> true));
-  }
-
   private void log(String event, String fields) {
     traffic
         .decisions()
@@ -533,17 +492,4 @@
   private static long nowMs() {
     return Moment.now().monotonicMs();
   }
-
-  /** An answer that arrived but cannot be the server's whole answer. */
-  private record Spoiled(String reason) implements Failure {
-    @Override
-    public String type() {
-      return "spoiled_answer";
-    }
-
-    @Override
-    public String message() {
-      return reason;
-    }
-  }
 }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServerTable.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServerTable.java
@@ -51,6 +51,11 @@
     return new ServerLoad(server, tokens, EXPECTED_MS);
   }
 
+  /** Returns whether a server, in the same start, may get work. */
+  boolean isUsable(String incarnation) {
+    return byIncarnation.containsKey(incarnation);
+  }
+
   /** Returns the servers of all services. */
   Collection<ServerLoad> all() {
     return byIncarnation.values();
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Traffic.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Traffic.java
@@ -9,11 +9,13 @@
 import io.samphiregauge.net.Address;
 import io.samphiregauge.net.HttpCalls;
 import io.samphiregauge.net.HttpPool;
+import io.samphiregauge.schema.gateway.CrashRecord;
 import io.samphiregauge.schema.gateway.EntrySettings;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 /** What all requests of one event loop share. Used by that event loop only. */
@@ -33,6 +35,7 @@
   private final HttpCalls calls;
   private final ServerChooser chooser;
   private final ServerTable servers = new ServerTable();
+  private final CrashWatch crashes;
   private final Map<String, RepeatBudget> budgets = new HashMap<>();
   private int running;
 
@@ -43,6 +46,7 @@
       CallRouting routing,
       Supplier<GatewayView> views,
       BiConsumer<String, Moment> usage,
+      Consumer<CrashRecord> crashPublisher,
       GatewayMetrics metrics,
       DecisionLines decisions) {
     this.loop = loop;
@@ -55,6 +59,7 @@
     this.decisions = decisions;
     this.pool = new HttpPool(loop, CONNECT_TIMEOUT_MS);
     this.calls = new HttpCalls(loop);
+    this.crashes = new CrashWatch(this, crashPublisher);
     this.chooser = new ServerChooser(settings.getFailureDomain());
   }
 
@@ -89,6 +94,10 @@
     return view;
   }
 
+  CrashWatch crashes() {
+    return crashes;
+  }
+
   ServerTable servers() {
     return servers;
   }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/TrafficSide.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/TrafficSide.java
@@ -15,6 +15,7 @@
 import io.samphiregauge.net.LogLines;
 import io.samphiregauge.net.PeerReceiver;
 import io.samphiregauge.net.PeerTransport;
+import io.samphiregauge.schema.gateway.CrashRecord;
 import io.samphiregauge.schema.gateway.EntrySettings;
 import io.samphiregauge.schema.peer.BackendLoads;
 import io.samphiregauge.schema.record.Incarnation;
@@ -26,6 +27,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 /** Serves callers. */
@@ -35,11 +37,14 @@
   private static final RandomSource RANDOM = () -> ThreadLocalRandom.current().nextLong();
 
   private final GatewayMetrics metrics;
+  private final Traffic traffic;
   private final AtomicBoolean stopping;
   private final HttpServer server;
 
-  private TrafficSide(GatewayMetrics metrics, AtomicBoolean stopping, HttpServer server) {
+  private TrafficSide(
+      GatewayMetrics metrics, Traffic traffic, AtomicBoolean stopping, HttpServer server) {
     this.metrics = metrics;
+    this.traffic = traffic;
     this.stopping = stopping;
     this.server = server;
   }
@@ -53,6 +58,7 @@
    * @param dialect how callers and servers write
    * @param views gives the newest view
    * @param usage takes the team of each request that begins to run, and when it began
+   * @param crashes takes the requests whose servers ended, to tell other entries
    * @param metrics takes counts and latencies
    * @param log takes a line for each decision
    * @return the serving side, or why the address could not be bound
@@ -64,6 +70,7 @@
       Dialect dialect,
       Supplier<GatewayView> views,
       BiConsumer<String, Moment> usage,
+      Consumer<CrashRecord> crashes,
       GatewayMetrics metrics,
       LogLines log) {
     EventLoop loop = loops.next();
@@ -76,12 +83,13 @@
             routing,
             views,
             usage,
+            crashes,
             metrics,
             new DecisionLines(loop, log));
     AtomicBoolean stopping = new AtomicBoolean();
     return startPeerLoads(loops, self, traffic)
         .flatMap(peers -> listen(self, loop, traffic, stopping))
-        .map(server -> new TrafficSide(metrics, stopping, server));
+        .map(server -> new TrafficSide(metrics, traffic, stopping, server));
   }
 
   private static Result<HttpServer> listen(
@@ -129,6 +137,15 @@
     return metrics;
   }
 
+  /**
+   * Takes a crash that an entry has published; safe for all threads.
+   *
+   * @param crash the request and its server
+   */
+  public void crashed(CrashRecord crash) {
+    traffic.execute(() -> traffic.crashes().take(crash));
+  }
+
   /** Answers from now on end their connections, so that callers ask the directory again. */
   public void stopKeepingConnections() {
     stopping.set(true);
