--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/backend/BackendBook.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/backend/BackendBook.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * The backend servers that may get work, folded from their announcements. Used by one thread.
@@ -86,6 +87,15 @@
     return changed;
   }
 
+  /**
+   * Returns when the next grace ends, so that the servers can be dropped at that time.
+   *
+   * @return monotonic time, if a server has a grace
+   */
+  public OptionalLong nextExpiryMs() {
+    return lapsed.values().stream().mapToLong(Lapsed::untilMs).min();
+  }
+
   /**
    * Returns the servers that may get work.
    *
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/backend/BackendBookTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/backend/BackendBookTest.java
@@ -45,6 +45,19 @@
     assertThat(book.usable()).isEmpty();
   }
 
+  /** Guards against a grace that lasts until the next announcement happens to arrive. */
+  @Test
+  void tellsWhenTheNextGraceEnds() {
+    assertThat(book.nextExpiryMs()).isEmpty();
+    announce(server("s", 1, false), 0);
+    announce(server("t", 1, false), 0);
+    book.announce("t", Optional.empty(), 40);
+    book.announce("s", Optional.empty(), 10);
+    assertThat(book.nextExpiryMs()).hasValue(1_010);
+    book.expire(1_010);
+    assertThat(book.nextExpiryMs()).hasValue(1_040);
+  }
+
   /** Guards against a lapsed server that is listed twice once it is back. */
   @Test
   void serverThatCameBackIsListedOnce() {
--- /dev/null
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/MetricsPage.java
@@ -0,0 +1,51 @@
+package io.samphiregauge.gateway;
+
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Snapshot;
+import io.samphiregauge.gateway.Pages.Page;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+
+/** Writes counters and latencies as text, one value a line. */
+public final class MetricsPage {
+  private static final String PATH = "/metrics";
+  private static final double NANOS_PER_MS = TimeUnit.MILLISECONDS.toNanos(1);
+
+  private MetricsPage() {}
+
+  /**
+   * Makes the page.
+   *
+   * @param registry the metrics
+   * @return answers the path of the page
+   */
+  public static Function<String, Page> of(MetricRegistry registry) {
+    return uri ->
+        uri.equals(PATH)
+            ? new Page(200, "text/plain", text(registry))
+            : new Page(404, "text/plain", "The metrics are at " + PATH + ".\n");
+  }
+
+  private static String text(MetricRegistry registry) {
+    StringBuilder text = new StringBuilder();
+    registry
+        .getCounters()
+        .forEach((name, counter) -> line(text, name + "_total", counter.getCount()));
+    registry
+        .getTimers()
+        .forEach(
+            (name, timer) -> {
+              Snapshot latency = timer.getSnapshot();
+              line(text, name + "_count", timer.getCount());
+              line(text, name + "_ms_p50", latency.getMedian() / NANOS_PER_MS);
+              line(text, name + "_ms_p95", latency.get95thPercentile() / NANOS_PER_MS);
+              line(text, name + "_ms_p99", latency.get99thPercentile() / NANOS_PER_MS);
+            });
+    return text.toString();
+  }
+
+  private static void line(StringBuilder text, String name, Number value) {
+    text.append("samphiregauge_").append(name.replace('.', '_')).append(' ').append(value);
+    text.append('\n');
+  }
+}
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
@@ -37,7 +37,7 @@
   /** Further entries look at the register less often; each look is paid for. */
   private static final long LATER_RANK_MS = 700;
 
-  private static final int MAX_RANK_STEPS = 4;
+  private static final int MAX_RANK_STEPS = 40;
   private static final long LEASE_MARGIN_MS = 700;
 
   /** The lease is longer than the time in which two holders must not act by turns. */
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
@@ -54,10 +54,17 @@
       Consumer<GatewayView> publisher) {
     this.publisher = publisher;
     this.store = store;
-    this.site = new SiteFollower(control, store, reader, settings.getDrainMs(), this::publish);
+    this.site =
+        new SiteFollower(
+            control,
+            store,
+            reader,
+            settings.getDrainMs(),
+            settings.getRevocationMs(),
+            this::publish);
     this.group = new GroupFollower(control, store, self, this::publish);
     long windowMs = settings.getUsageWindowS() * MS_PER_S;
-    this.usage = new UsageCounter(control, store, self, windowMs);
+    this.usage = new UsageCounter(control, store, self, windowMs, () -> group.members().size());
     this.duties =
         fleet.map(
             api ->
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/SiteFollower.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/SiteFollower.java
@@ -23,12 +23,26 @@
 final class SiteFollower {
   private static final Logger LOG = System.getLogger(SiteFollower.class.getName());
 
-  /** A change of the configuration is due everywhere within 2 s, so the store is asked to wait. */
-  private static final TopicFollower.Pace CONFIG_PACE = new TopicFollower.Pace(1_500, 0);
+  /** Longest wait for a change of the configuration; a connection that fell silent shows by it. */
+  private static final int MAX_CONFIG_WAIT_MS = 2_000;
 
-  /** A draining server may get work for 2 s; heartbeats would end each waiting read at once. */
-  private static final TopicFollower.Pace BACKENDS_PACE = new TopicFollower.Pace(0, 600);
+  /** Keys count as current from the start of a read, so several reads must fit into their time. */
+  private static final double READS_PER_REVOCATION = 2.5;
 
+  /**
+   * Part of the time for which a draining server may still get work after which the announcements
+   * are read again. A read that waits would be ended by the next heartbeat, and each one is paid
+   * for.
+   */
+  private static final double DRAIN_SHARE = 0.42;
+
+  /**
+   * Part of that time for which a server stays usable whose announcement is gone. The removal is
+   * seen up to one read late, and a request needs time to reach the server.
+   */
+  private static final double LAPSE_SHARE = 0.25;
+
+  private final ControlThread control;
   private final SiteReader reader;
   private final BackendBook book;
   private final Runnable changed;
@@ -47,23 +61,35 @@
    * @param store the store
    * @param reader decodes what is followed
    * @param drainMs time for which a leaving server may still get work
+   * @param revocationMs time for which a withdrawn key may still work
    * @param changed runs when there is something to publish
    */
   SiteFollower(
-      ControlThread control, SharedStore store, SiteReader reader, int drainMs, Runnable changed) {
+      ControlThread control,
+      SharedStore store,
+      SiteReader reader,
+      int drainMs,
+      int revocationMs,
+      Runnable changed) {
     this.reader = reader;
-    // Half of the time, since the removal is seen up to one read later.
-    this.book = new BackendBook(drainMs / 2);
+    this.control = control;
+    this.book = new BackendBook((long) (drainMs * LAPSE_SHARE));
     this.changed = changed;
     this.configs =
         new TopicFollower(
-            control, store, Topic.CONFIG, CONFIG_PACE, this::takeConfigs, this::takeConfigs);
+            control,
+            store,
+            Topic.CONFIG,
+            new TopicFollower.Pace(
+                (int) Math.min(MAX_CONFIG_WAIT_MS, revocationMs / READS_PER_REVOCATION), 0),
+            this::takeConfigs,
+            this::takeConfigs);
     this.backends =
         new TopicFollower(
             control,
             store,
             Topic.BACKENDS,
-            BACKENDS_PACE,
+            new TopicFollower.Pace(0, (long) (drainMs * DRAIN_SHARE)),
             this::replaceBackends,
             this::takeBackends);
   }
@@ -137,7 +163,7 @@
   }
 
   private void takeBackends(List<StoreRecord> records, Moment asked) {
-    boolean different = book.expire(asked.monotonicMs());
+    boolean different = false;
     for (StoreRecord entry : records) {
       different |= book.announce(entry.key(), decode(entry), asked.monotonicMs());
     }
@@ -148,6 +174,12 @@
     if (!different) {
       return;
     }
+    book.nextExpiryMs()
+        .ifPresent(
+            atMs ->
+                control.after(
+                    Math.max(0, atMs - Moment.now().monotonicMs()),
+                    () -> publish(book.expire(Moment.now().monotonicMs()))));
     List<BackendServer> next = book.usable();
     if (!next.equals(servers)) {
       logDifference(servers, next);
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/UsageCounter.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/UsageCounter.java
@@ -11,14 +11,18 @@
 import io.samphiregauge.schema.gateway.UsageRecord;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.IntSupplier;
 
 /**
  * Counts the requests of this process by window and team, and writes the counts to the store. Runs
  * on the control thread.
  */
 final class UsageCounter {
-  /** Records in each window. A killed process loses the counts since its last record. */
-  private static final int RECORDS_PER_WINDOW = 4;
+  /** Most records of a process in each window; a killed process loses what came after the last. */
+  private static final int MAX_RECORDS_PER_WINDOW = 4;
+
+  /** Records of all processes in each window; with more processes, each one's loss weighs less. */
+  private static final int RECORDS_OF_ALL = 28;
 
   /** Time after a window's end until its last requests are counted. */
   private static final long SETTLE_MS = 250;
@@ -27,11 +31,14 @@
   private final SharedStore store;
   private final Member self;
   private final long windowMs;
+  private final IntSupplier processes;
   private final TrustedTime time;
   private final UsageTally tally = new UsageTally();
   private boolean unwritten;
 
-  UsageCounter(ControlThread control, SharedStore store, Member self, long windowMs) {
+  UsageCounter(
+      ControlThread control, SharedStore store, Member self, long windowMs, IntSupplier processes) {
+    this.processes = processes;
     this.control = control;
     this.store = store;
     this.self = self;
@@ -63,7 +70,8 @@
   }
 
   private void scheduleWrite() {
-    long period = windowMs / RECORDS_PER_WINDOW;
+    int records = RECORDS_OF_ALL / Math.max(1, processes.getAsInt());
+    long period = windowMs / Math.max(1, Math.min(MAX_RECORDS_PER_WINDOW, records));
     long waitMs = period - Math.floorMod(millis() - SETTLE_MS, period);
     control.after(
         waitMs,
