--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/dispatch/ServerChooserTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/dispatch/ServerChooserTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.samphiregauge.core.admit.RetryBudget;
 import io.samphiregauge.core.backend.BackendServer;
 import io.samphiregauge.core.backend.EngineStage;
 import java.util.ArrayList;
@@ -122,11 +123,11 @@
   /** Guards against repeats beyond the share that all entries may send together. */
   @Test
   void repeatBudgetStaysWithinItsShare() {
-    RepeatBudget budget = new RepeatBudget(0.2, 54);
+    RetryBudget budget = RetryBudget.partOf(0.2, 54);
     int repeats = 0;
     for (int i = 0; i < 1_000; i++) {
       budget.request();
-      while (budget.tryRepeat()) {
+      while (budget.tryRetry()) {
         repeats++;
       }
     }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Exchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Exchange.java
@@ -410,7 +410,7 @@
   }
 
   private boolean mayRepeat() {
-    return sends < call.route().maxAttempts() && traffic.budget(call.service()).tryRepeat();
+    return sends < call.route().maxAttempts() && traffic.budget(call.service()).tryRetry();
   }
 
   private void timeOut() {
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Traffic.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Traffic.java
@@ -1,7 +1,7 @@
 package io.samphiregauge.gateway.traffic;
 
 import io.netty.channel.EventLoop;
-import io.samphiregauge.core.dispatch.RepeatBudget;
+import io.samphiregauge.core.admit.RetryBudget;
 import io.samphiregauge.core.dispatch.ServerChooser;
 import io.samphiregauge.gateway.GatewayView;
 import io.samphiregauge.gateway.Moment;
@@ -36,7 +36,7 @@
   private final ServerChooser chooser;
   private final ServerTable servers = new ServerTable();
   private final CrashWatch crashes;
-  private final Map<String, RepeatBudget> budgets = new HashMap<>();
+  private final Map<String, RetryBudget> budgets = new HashMap<>();
   private int running;
 
   Traffic(
@@ -106,9 +106,9 @@
     return chooser;
   }
 
-  RepeatBudget budget(String service) {
+  RetryBudget budget(String service) {
     return budgets.computeIfAbsent(
-        service, name -> new RepeatBudget(settings.getRetryRatio(), settings.getRetrySlack()));
+        service, name -> RetryBudget.partOf(settings.getRetryRatio(), settings.getRetrySlack()));
   }
 
   void countUsage(String team, Moment began) {
