Hold an event stream on a plain route until it is whole

Cause: such an answer was cut into events although the route has no stream, which ended the connection to the server (504).

--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Exchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Exchange.java
@@ -254,7 +254,10 @@
   }
 
   private boolean isRelayedStream(Attempt current, ServerAnswer from) {
-    return !current.prefillOnly() && from.isEventStream() && !from.isUnsealedSuccess();
+    return call.route().rule().stream()
+        && !current.prefillOnly()
+        && from.isEventStream()
+        && !from.isUnsealedSuccess();
   }
 
   /** Notes the first sign that the request runs. */
