--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Exchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Exchange.java
@@ -69,7 +69,6 @@
   }
 
   void start() {
-    traffic.began();
     traffic.budget(call.service()).request();
     long waitMs = call.untilMs() - nowMs() + GRACE_MS;
     traffic.after(Math.max(0, waitMs), this::timeOut);
@@ -460,7 +459,6 @@
 
   private void finish() {
     over = true;
-    traffic.ended();
     freeUnusedKv();
     answer.ifPresent(ServerAnswer::release);
     answer = Optional.empty();
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Traffic.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Traffic.java
@@ -37,7 +37,6 @@
   private final ServerTable servers = new ServerTable();
   private final CrashWatch crashes;
   private final Map<String, RetryBudget> budgets = new HashMap<>();
-  private int running;
 
   Traffic(
       EventLoop loop,
@@ -123,18 +122,6 @@
     loop.execute(task);
   }
 
-  void began() {
-    running++;
-  }
-
-  void ended() {
-    running--;
-  }
-
-  int running() {
-    return running;
-  }
-
   static Address address(String text) {
     return Address.parse(text)
         .fold(
