Fetch cached prompt parts from another engine instead of reading them again

Entries tell each other which engine has read which long shared prompt, beside their loads. An engine without the parts fetches them from one that has them; the choice of an engine counts that as a transfer, not as a reading. Only parts that nobody is known to cache go to a home by hash.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/PrefixMemory.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/PrefixMemory.java
@@ -2,10 +2,11 @@
 
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
- * The prompt parts that an engine probably caches, judged by the requests that this entry sent. It
+ * The prompt parts that an engine probably caches, judged by the requests that all entries sent. It
  * evicts as the engine does: least recently used parts first. Used by one thread.
  */
 public final class PrefixMemory {
@@ -26,12 +27,12 @@
   }
 
   /**
-   * Notes that the engine has prefilled a prompt.
+   * Notes that the engine has read the start of a prompt.
    *
-   * @param prompt the prompt
+   * @param read the parts that it has read, in their order
    */
-  public void add(Prompt prompt) {
-    for (PromptPart part : prompt.parts()) {
+  public void add(List<PromptPart> read) {
+    for (PromptPart part : read) {
       if (parts.put(part.id(), part.tokens()) == null) {
         tokens += part.tokens();
       }
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/Prompt.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/Prompt.java
@@ -24,6 +24,11 @@
     return parts.isEmpty() ? parts : parts.subList(0, parts.size() - 1);
   }
 
+  /** Returns the tokens that other requests have in common with this one. */
+  public int sharedTokens() {
+    return sharedParts().stream().mapToInt(PromptPart::tokens).sum();
+  }
+
   /**
    * Returns the longest part that requests have in common; it decides where the prompt is cached.
    *
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/Rendezvous.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/Rendezvous.java
@@ -1,13 +1,11 @@
 package io.samphiregauge.core.dispatch;
 
-import io.samphiregauge.core.backend.BackendServer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.ToDoubleFunction;
 import java.util.zip.CRC32C;
 
-/** Weighted highest-random-weight hashing, by which all entries agree without talking. */
+/** Highest-random-weight hashing, by which all entries agree without talking. */
 final class Rendezvous {
   private static final long GOLDEN = 0x9E3779B97F4A7C15L;
 
@@ -18,15 +16,13 @@
    *
    * @param key the key
    * @param servers the candidates
-   * @param weight share of the keys that a server gets, relative to the others
    * @return the server with the highest rank
    */
-  static Optional<ServerLoad> home(
-      String key, List<ServerLoad> servers, ToDoubleFunction<BackendServer> weight) {
+  static Optional<ServerLoad> home(String key, List<ServerLoad> servers) {
     Optional<ServerLoad> home = Optional.empty();
-    double highest = Double.NEGATIVE_INFINITY;
+    double highest = 0;
     for (ServerLoad load : servers) {
-      double rank = -weight.applyAsDouble(load.server()) / Math.log(draw(key, load.server().id()));
+      double rank = draw(key, load.server().id());
       if (home.isEmpty() || rank > highest) {
         home = Optional.of(load);
         highest = rank;
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerChooser.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerChooser.java
@@ -28,9 +28,17 @@
   /** Time of a second engine's start on a request, and the price of moving the KV cache. */
   private static final double HAND_OVER_MS = 100;
 
-  /** Price of prefilling a shared token again, beside the time that it takes. */
+  /**
+   * Price of reading a shared token at another engine than its home, beside the time that it takes.
+   */
   private static final double REREAD_MS_PER_TOKEN = 0.02;
 
+  /** Time until a fetch from another engine's cache begins, and the price of moving it. */
+  private static final double FETCH_START_MS = 15;
+
+  /** Time for a token's KV cache on a link of 370 Gbit/s; other failure domains take twice that. */
+  private static final double FETCH_MS_PER_TOKEN = 0.0004;
+
   private final String domain;
 
   /**
@@ -42,8 +50,19 @@
     this.domain = domain;
   }
 
-  /** What is to be done with the prompt of a request. */
-  public record PromptPlan(ServerLoad server, boolean prefillFirst, int uncachedTokens) {}
+  /**
+   * What is to be done with the prompt of a request.
+   *
+   * @param server engine that prefills it
+   * @param prefillFirst whether that engine only prefills
+   * @param uncachedTokens tokens that it has to read
+   * @param cacheSource engine from which it fetches parts that it does not cache
+   */
+  public record PromptPlan(
+      ServerLoad server,
+      boolean prefillFirst,
+      int uncachedTokens,
+      Optional<ServerLoad> cacheSource) {}
 
   /**
    * Chooses a server that runs whole requests.
@@ -72,39 +91,53 @@
     if (!canGenerate) {
       return Optional.empty();
     }
-    // Prompts are spread by the rate at which servers prefill.
-    Optional<ServerLoad> home = Rendezvous.home(prompt.home(), servers, ServerChooser::rate);
-    int shared = prompt.sharedParts().stream().mapToInt(PromptPart::tokens).sum();
-    return least(servers, nowMs, load -> prefillCost(prompt, load, shared, isHome(home, load)))
-        .map(
-            load ->
-                new PromptPlan(
-                    load,
-                    load.server().prefillOnly(),
-                    uncached(prompt, load, shared, isHome(home, load))));
+    CacheDirectory cached = CacheDirectory.of(prompt, servers, nowMs);
+    Optional<ServerLoad> home = cached.isEmpty() ? home(prompt, servers) : Optional.empty();
+    return least(servers, nowMs, load -> prefillCost(prompt, load, cached, home))
+        .map(load -> plan(prompt, load, cached));
   }
 
-  private static boolean isHome(Optional<ServerLoad> home, ServerLoad load) {
-    return home.filter(load::equals).isPresent();
+  /** Entries agree on the first reader of parts that nobody is known to cache. */
+  private static Optional<ServerLoad> home(Prompt prompt, List<ServerLoad> servers) {
+    List<ServerLoad> prefilling =
+        servers.stream().filter(load -> load.server().prefillOnly()).toList();
+    return Rendezvous.home(prompt.home(), prefilling.isEmpty() ? servers : prefilling);
   }
 
-  /** Other entries send the same parts to the same home, so it has read them for all. */
-  private static int uncached(Prompt prompt, ServerLoad load, int shared, boolean atHome) {
-    int cached = load.prefixes().cachedTokens(prompt);
-    return Math.max(0, prompt.tokens() - (atHome ? Math.max(cached, shared) : cached));
+  private static PromptPlan plan(Prompt prompt, ServerLoad load, CacheDirectory cached) {
+    int kept = load.prefixes().cachedTokens(prompt);
+    Optional<CacheDirectory.Holder> source = cached.sourceFor(load, kept);
+    return new PromptPlan(
+        load,
+        load.server().prefillOnly(),
+        prompt.tokens() - source.map(CacheDirectory.Holder::tokens).orElse(kept),
+        source.map(CacheDirectory.Holder::load));
   }
 
-  private double prefillCost(Prompt prompt, ServerLoad load, int shared, boolean atHome) {
-    int uncached = uncached(prompt, load, shared, atHome);
-    int reread = Math.max(0, uncached - (prompt.tokens() - shared));
+  private double prefillCost(
+      Prompt prompt, ServerLoad load, CacheDirectory cached, Optional<ServerLoad> home) {
+    int kept = load.prefixes().cachedTokens(prompt);
+    Optional<CacheDirectory.Holder> source = cached.sourceFor(load, kept);
+    int uncached = prompt.tokens() - source.map(CacheDirectory.Holder::tokens).orElse(kept);
+    double fetchMs = source.map(from -> fetchMs(from, load, kept)).orElse(0.0);
+    double strangerMs =
+        home.filter(at -> !at.equals(load)).isPresent()
+            ? prompt.sharedTokens() * REREAD_MS_PER_TOKEN
+            : 0;
     double handOverMs = load.server().prefillOnly() ? HAND_OVER_MS : 0;
     return queueMs(load)
         + uncached / rate(load.server())
-        + reread * REREAD_MS_PER_TOKEN
+        + fetchMs
+        + strangerMs
         + handOverMs
         + generalCost(load, domain);
   }
 
+  private static double fetchMs(CacheDirectory.Holder from, ServerLoad to, int kept) {
+    double distance = from.load().server().domain().equals(to.server().domain()) ? 1 : 2;
+    return FETCH_START_MS + (from.tokens() - kept) * FETCH_MS_PER_TOKEN * distance;
+  }
+
   /**
    * Chooses the engine that generates the answer to a prompt that another engine has prefilled.
    *
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/dispatch/ServerChooserTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/dispatch/ServerChooserTest.java
@@ -56,7 +56,7 @@
       assertThat(elsewhere.prefill(prompt, reversed, NOW_MS).orElseThrow().server().server().id())
           .isEqualTo(here);
     }
-    assertThat(chosen).hasSizeGreaterThan(3);
+    assertThat(chosen).containsExactlyInAnyOrder("p0", "p1", "p2");
   }
 
   /** Guards against a prompt that waits behind a long queue only because it is cached there. */
@@ -83,6 +83,61 @@
     assertThat(choice(prompt, engines)).isEqualTo(home);
   }
 
+  /** Guards against shared parts that are read again although another engine caches them. */
+  @Test
+  void fetchesSharedPartsThatAnotherEngineCaches() {
+    Prompt prompt = prompt("part", 13_000, 3_000);
+    List<ServerLoad> engines = engines();
+    ServerLoad holder = engines.get(0);
+    holder.prefixes().add(prompt.sharedParts());
+    holder.others(40, 200_000);
+    ServerChooser.PromptPlan plan = chooser.prefill(prompt, engines, NOW_MS).orElseThrow();
+    assertThat(plan.server()).isNotEqualTo(holder);
+    assertThat(plan.cacheSource()).contains(holder);
+    assertThat(plan.uncachedTokens()).isEqualTo(3_000);
+  }
+
+  /**
+   * Guards against KV cache that crosses failure domains without need, which takes twice as long.
+   */
+  @Test
+  void fetchesFromTheSameDomainIfItCan() {
+    Prompt prompt = prompt("part", 13_000, 3_000);
+    ServerLoad far = server("far", "b", Optional.of(EngineStage.PREFILL));
+    ServerLoad near = server("near", "a", Optional.of(EngineStage.PREFILL));
+    ServerLoad idle = server("idle", "a", Optional.of(EngineStage.DECODE));
+    List.of(far, near).forEach(load -> load.prefixes().add(prompt.sharedParts()));
+    List.of(far, near).forEach(load -> load.others(40, 200_000));
+    ServerChooser.PromptPlan plan =
+        chooser.prefill(prompt, List.of(far, near, idle), NOW_MS).orElseThrow();
+    assertThat(plan.server()).isEqualTo(idle);
+    assertThat(plan.cacheSource()).contains(near);
+  }
+
+  /** Guards against a fetch from an engine that is dead, which costs the time to notice. */
+  @Test
+  void fetchesFromNoEngineThatIsAvoided() {
+    Prompt prompt = prompt("part", 13_000, 3_000);
+    ServerLoad dead = server("dead", "a", Optional.of(EngineStage.PREFILL));
+    ServerLoad idle = server("idle", "a", Optional.of(EngineStage.DECODE));
+    dead.prefixes().add(prompt.sharedParts());
+    dead.unreachable(NOW_MS);
+    ServerChooser.PromptPlan plan =
+        chooser.prefill(prompt, List.of(dead, idle), NOW_MS).orElseThrow();
+    assertThat(plan.cacheSource()).isEmpty();
+    assertThat(plan.uncachedTokens()).isEqualTo(16_000);
+  }
+
+  /** Guards against a transfer that takes longer than reading a short beginning. */
+  @Test
+  void readsShortSharedPartsAgain() {
+    Prompt prompt = prompt("part", 100, 300);
+    List<ServerLoad> engines = engines();
+    engines.get(0).prefixes().add(prompt.sharedParts());
+    engines.get(0).others(40, 200_000);
+    assertThat(chooser.prefill(prompt, engines, NOW_MS).orElseThrow().cacheSource()).isEmpty();
+  }
+
   /** Guards against a prompt that is prefilled although no engine can generate. */
   @Test
   void nothingIsPrefilledWithoutAnEngineThatGenerates() {
@@ -114,8 +169,8 @@
   @Test
   void prefixMemoryEvictsTheLeastRecentlyUsed() {
     PrefixMemory memory = new PrefixMemory(10_000);
-    memory.add(prompt("old", 5_000, 10));
-    memory.add(prompt("new", 5_000, 10));
+    memory.add(prompt("old", 5_000, 10).parts());
+    memory.add(prompt("new", 5_000, 10).parts());
     assertThat(memory.cachedTokens(prompt("old", 5_000, 10))).isZero();
     assertThat(memory.cachedTokens(prompt("new", 5_000, 20))).isEqualTo(5_020);
   }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/port/Forwarding.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/port/Forwarding.java
@@ -12,6 +12,7 @@
  * @param rank urgency among all requests of an engine, 0 is the most urgent
  * @param prefillOnly whether the engine only prefills the prompt and keeps the KV cache
  * @param source KV cache to start from
+ * @param cacheSource engine from whose cache the server fetches parts of the prompt first
  * @param resumeAfter identifier of the last event that the caller has
  */
 public record Forwarding(
@@ -21,4 +22,5 @@
     int rank,
     boolean prefillOnly,
     Optional<KvSource> source,
+    Optional<BackendServer> cacheSource,
     Optional<String> resumeAfter) {}
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Attempt.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Attempt.java
@@ -1,5 +1,6 @@
 package io.samphiregauge.gateway.traffic;
 
+import io.samphiregauge.core.dispatch.ServerChooser;
 import io.samphiregauge.core.dispatch.ServerLoad;
 import io.samphiregauge.gateway.Moment;
 import io.samphiregauge.net.HttpConnection;
@@ -10,18 +11,31 @@
   private final ServerLoad load;
   private final long promptTokens;
   private final boolean prefillOnly;
+  private final Optional<ServerLoad> cacheSource;
   private final Moment sent = Moment.now();
   private Optional<HttpConnection> connection = Optional.empty();
   private boolean prefilled;
   private boolean ended;
 
-  Attempt(ServerLoad load, long promptTokens, boolean prefillOnly) {
+  private Attempt(
+      ServerLoad load, long promptTokens, boolean prefillOnly, Optional<ServerLoad> cacheSource) {
     this.load = load;
     this.promptTokens = promptTokens;
     this.prefillOnly = prefillOnly;
+    this.cacheSource = cacheSource;
     load.sent(promptTokens);
   }
 
+  /** Begins a send that needs no prompt read, or whose prompt was prefilled elsewhere. */
+  static Attempt run(ServerLoad load) {
+    return new Attempt(load, 0, false, Optional.empty());
+  }
+
+  static Attempt of(ServerChooser.PromptPlan plan) {
+    return new Attempt(
+        plan.server(), plan.uncachedTokens(), plan.prefillFirst(), plan.cacheSource());
+  }
+
   ServerLoad load() {
     return load;
   }
@@ -30,6 +44,11 @@
     return prefillOnly;
   }
 
+  /** Returns the engine from whose cache the server fetches parts of the prompt. */
+  Optional<ServerLoad> cacheSource() {
+    return cacheSource;
+  }
+
   /** Returns the prompt tokens that the server has to prefill. */
   long promptTokens() {
     return promptTokens;
--- /dev/null
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/CacheNews.java
@@ -0,0 +1,46 @@
+package io.samphiregauge.gateway.traffic;
+
+import io.samphiregauge.core.dispatch.Prompt;
+import io.samphiregauge.core.dispatch.PromptPart;
+import io.samphiregauge.core.dispatch.ServerLoad;
+import io.samphiregauge.schema.peer.CachedPrompt;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The long shared prompts that servers have read since other entries were last told. */
+final class CacheNews {
+  /** Shorter beginnings are read again sooner than another entry hears of them. */
+  private static final int MIN_TOKENS = 512;
+
+  /** Most prompts in a message; what is left out costs at most one more reading. */
+  private static final int MAX_PROMPTS = 64;
+
+  private final List<CachedPrompt> untold = new ArrayList<>();
+
+  void add(ServerLoad load, Prompt prompt) {
+    if (prompt.sharedTokens() >= MIN_TOKENS && untold.size() < MAX_PROMPTS) {
+      List<PromptPart> parts = prompt.sharedParts();
+      untold.add(
+          new CachedPrompt(
+              ServerTable.key(load.server()),
+              parts.stream().map(PromptPart::id).toList(),
+              parts.stream().map(PromptPart::tokens).toList()));
+    }
+  }
+
+  /** Returns what was added since the last call. */
+  List<CachedPrompt> take() {
+    List<CachedPrompt> all = List.copyOf(untold);
+    untold.clear();
+    return all;
+  }
+
+  static List<PromptPart> parts(CachedPrompt prompt) {
+    int count = Math.min(prompt.getParts().size(), prompt.getTokens().size());
+    List<PromptPart> parts = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      parts.add(new PromptPart(prompt.getParts().get(i), prompt.getTokens().get(i)));
+    }
+    return parts;
+  }
+}
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Exchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Exchange.java
@@ -114,42 +114,33 @@
     List<ServerLoad> servers = traffic.servers().candidates(call.service(), tried);
     ServerChooser chooser = traffic.chooser();
     if (call.prompt().isEmpty()) {
-      run(chooser.plain(servers, nowMs), 0);
+      send(chooser.plain(servers, nowMs).map(Attempt::run));
       return;
     }
     Prompt prompt = call.prompt().orElseThrow();
     if (kv.source().isPresent()) {
-      run(chooser.decode(servers, kv.source().orElseThrow().server().domain(), nowMs), 0);
+      String near = kv.source().orElseThrow().server().domain();
+      send(chooser.decode(servers, near, nowMs).map(Attempt::run));
       return;
     }
     List<ServerLoad> usable =
         prefillFailed
             ? servers.stream().filter(load -> !load.server().prefillOnly()).toList()
             : servers;
-    Optional<ServerChooser.PromptPlan> plan = chooser.prefill(prompt, usable, nowMs);
-    if (plan.filter(ServerChooser.PromptPlan::prefillFirst).isPresent()) {
-      ServerChooser.PromptPlan first = plan.orElseThrow();
-      send(first.server(), first.uncachedTokens(), true);
-      return;
-    }
-    run(plan.map(ServerChooser.PromptPlan::server), plan.map(p -> p.uncachedTokens()).orElse(0));
+    send(chooser.prefill(prompt, usable, nowMs).map(Attempt::of));
   }
 
-  private void run(Optional<ServerLoad> server, int promptTokens) {
-    if (server.isPresent()) {
-      send(server.orElseThrow(), promptTokens, false);
-    } else {
+  private void send(Optional<Attempt> next) {
+    if (next.isEmpty()) {
       giveUp(Refusal.notRun("no_server", "No server of the service can be used.", RETRY_SOON_MS));
+      return;
     }
-  }
-
-  private void send(ServerLoad load, int promptTokens, boolean prefillOnly) {
-    Attempt current = new Attempt(load, promptTokens, prefillOnly);
-    attempt = Optional.of(current);
+    attempt = next;
+    Attempt current = next.orElseThrow();
     traffic
         .pool()
         .connect(
-            Traffic.address(load.server().address()),
+            Traffic.address(current.load().server().address()),
             true,
             opened ->
                 opened.fold(
@@ -168,12 +159,13 @@
     }
     log(
         current.prefillOnly() ? "prefill" : "forward",
-        "backend=%s in_flight=%d queued_tokens=%d tokens=%d send=%d left_ms=%d"
+        "backend=%s in_flight=%d queued_tokens=%d tokens=%d cache_source=%s send=%d left_ms=%d"
             .formatted(
                 current.load().server().incarnation(),
                 current.load().allInFlight(),
                 current.load().allPromptTokens(),
                 current.promptTokens(),
+                current.cacheSource().map(load -> load.server().incarnation()).orElse("-"),
                 sends,
                 call.untilMs() - nowMs()));
     connection.send(
@@ -265,10 +257,14 @@
       log("first_event", "took_ms=%d since_ms=%d".formatted(current.tookMs(), sinceArrivalMs()));
       current.prefilled();
       current.load().answered(current.tookMs());
-      call.prompt().ifPresent(prompt -> current.load().prefixes().add(prompt));
+      cached(current);
     }
   }
 
+  private void cached(Attempt current) {
+    call.prompt().ifPresent(prompt -> traffic.cached(current.load(), prompt));
+  }
+
   private void complete(Attempt current, ServerAnswer from) {
     if (from.isRejection()) {
       rejected(current, from);
@@ -294,7 +290,7 @@
       return;
     }
     current.load().answered(current.tookMs());
-    call.prompt().ifPresent(prompt -> current.load().prefixes().add(prompt));
+    cached(current);
     kv.hold(new KvSource(current.load().server(), handle.orElseThrow()));
     next();
   }
@@ -334,6 +330,7 @@
       current.load().failed(nowMs());
     } else {
       current.load().answered(current.tookMs());
+      cached(current);
     }
     charge.charge(current.sent());
     if (output.begun()) {
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/OutboundRequest.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/OutboundRequest.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
+import io.samphiregauge.core.dispatch.ServerLoad;
 import io.samphiregauge.core.site.Team;
 import io.samphiregauge.gateway.port.Dialect;
 import io.samphiregauge.gateway.port.Forwarding;
@@ -44,6 +45,7 @@
             call.rank(),
             attempt.prefillOnly(),
             attempt.prefillOnly() ? Optional.empty() : source,
+            attempt.cacheSource().map(ServerLoad::server),
             resumeAfter);
     dialect.forward().accept(request.headers(), forwarding);
     return request;
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/PeerLoads.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/PeerLoads.java
@@ -6,16 +6,16 @@
 import io.samphiregauge.net.PeerTransport;
 import io.samphiregauge.schema.peer.BackendLoad;
 import io.samphiregauge.schema.peer.BackendLoads;
-import java.nio.charset.StandardCharsets;
+import io.samphiregauge.schema.peer.CachedPrompt;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.zip.CRC32C;
 
 /**
- * Exchanges with other entries what each has under way at the backend servers. A lost message does
- * no harm, since the next one replaces it. Used by one event loop.
+ * Exchanges with other entries what each has under way at the backend servers, and what these
+ * cache. A lost message does little harm: the next one replaces the loads, and a prompt that nobody
+ * heard of is read once more. Used by one event loop.
  */
 final class PeerLoads {
   /** Least time between two messages; prompts take about as long to prefill. */
@@ -47,12 +47,18 @@
   void take(BackendLoads loads) {
     received.put(loads.getVm(), new Received(loads, nowMs()));
     apply();
+    for (CachedPrompt prompt : loads.getCached()) {
+      traffic
+          .servers()
+          .byKey(prompt.getBackend())
+          .ifPresent(load -> load.prefixes().add(CacheNews.parts(prompt)));
+    }
   }
 
   private void send() {
     List<Member> members = traffic.view().members();
     traffic.after(Math.max(MIN_PERIOD_MS, members.size() * PERIOD_MS_PER_MEMBER), this::send);
-    BackendLoads own = new BackendLoads(self.vm(), own());
+    BackendLoads own = new BackendLoads(self.vm(), own(), traffic.cacheNews().take());
     for (Member member : members) {
       if (!member.vm().equals(self.vm())) {
         transport.send(member.peerAddress(), own);
@@ -64,7 +70,8 @@
     List<BackendLoad> loads = new ArrayList<>();
     for (ServerLoad load : traffic.servers().all()) {
       if (load.inFlight() > 0) {
-        loads.add(new BackendLoad(hash(load), load.promptTokens(), load.inFlight()));
+        loads.add(
+            new BackendLoad(ServerTable.key(load.server()), load.promptTokens(), load.inFlight()));
       }
     }
     return loads;
@@ -82,18 +89,12 @@
       }
     }
     for (ServerLoad load : traffic.servers().all()) {
-      int key = hash(load);
+      int key = ServerTable.key(load.server());
       load.others(
           requests.getOrDefault(key, new int[1])[0], tokens.getOrDefault(key, new long[1])[0]);
     }
   }
 
-  private static int hash(ServerLoad load) {
-    CRC32C crc = new CRC32C();
-    crc.update(load.server().incarnation().getBytes(StandardCharsets.UTF_8));
-    return (int) crc.getValue();
-  }
-
   private static long nowMs() {
     return Moment.now().monotonicMs();
   }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServerTable.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServerTable.java
@@ -5,6 +5,7 @@
 import io.samphiregauge.core.site.EngineSpec;
 import io.samphiregauge.core.site.SiteConfig;
 import io.samphiregauge.gateway.GatewayView;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -12,6 +13,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.zip.CRC32C;
 
 /** The load of each usable backend server, by service. Used by one event loop. */
 final class ServerTable {
@@ -19,6 +21,7 @@
   private static final double EXPECTED_MS = 40;
 
   private final Map<String, ServerLoad> byIncarnation = new HashMap<>();
+  private final Map<Integer, ServerLoad> byKey = new HashMap<>();
   private Map<String, List<ServerLoad>> byService = Map.of();
   private long version = -1;
 
@@ -30,6 +33,7 @@
     version = view.serversVersion();
     Map<String, ServerLoad> last = new HashMap<>(byIncarnation);
     byIncarnation.clear();
+    byKey.clear();
     Map<String, List<ServerLoad>> services = new HashMap<>();
     for (BackendServer server : view.servers()) {
       ServerLoad load =
@@ -37,6 +41,7 @@
               .map(known -> known.announced(server))
               .orElseGet(() -> newLoad(server, view.config().orElseThrow()));
       byIncarnation.put(server.incarnation(), load);
+      byKey.put(key(server), load);
       services.computeIfAbsent(server.service(), name -> new ArrayList<>()).add(load);
     }
     byService = services;
@@ -56,6 +61,18 @@
     return byIncarnation.containsKey(incarnation);
   }
 
+  /** Returns the load of the server that messages between entries call by a key. */
+  Optional<ServerLoad> byKey(int key) {
+    return Optional.ofNullable(byKey.get(key));
+  }
+
+  /** Returns the key of a server in one of its starts, for messages between entries. */
+  static int key(BackendServer server) {
+    CRC32C crc = new CRC32C();
+    crc.update(server.incarnation().getBytes(StandardCharsets.UTF_8));
+    return (int) crc.getValue();
+  }
+
   /** Returns the servers of all services. */
   Collection<ServerLoad> all() {
     return byIncarnation.values();
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Traffic.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Traffic.java
@@ -2,7 +2,9 @@
 
 import io.netty.channel.EventLoop;
 import io.samphiregauge.core.admit.RetryBudget;
+import io.samphiregauge.core.dispatch.Prompt;
 import io.samphiregauge.core.dispatch.ServerChooser;
+import io.samphiregauge.core.dispatch.ServerLoad;
 import io.samphiregauge.gateway.GatewayView;
 import io.samphiregauge.gateway.Moment;
 import io.samphiregauge.gateway.port.Dialect;
@@ -35,6 +37,7 @@
   private final HttpCalls calls;
   private final ServerChooser chooser;
   private final ServerTable servers = new ServerTable();
+  private final CacheNews cacheNews = new CacheNews();
   private final CrashWatch crashes;
   private final Map<String, RetryBudget> budgets = new HashMap<>();
 
@@ -101,6 +104,16 @@
     return servers;
   }
 
+  CacheNews cacheNews() {
+    return cacheNews;
+  }
+
+  /** Notes that a server has read a prompt for this entry. */
+  void cached(ServerLoad load, Prompt prompt) {
+    load.prefixes().add(prompt.parts());
+    cacheNews.add(load, prompt);
+  }
+
   ServerChooser chooser() {
     return chooser;
   }
