Add samphirectl explain

It collects the log lines of one request over the logs of all entries, what its entry believed of the store and of the servers around that time, and says how the request ended and why.

--- a/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/CommandOptions.java
+++ b/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/CommandOptions.java
@@ -4,6 +4,8 @@
 import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 
 /** Options of the commands, in the form that JCommander fills. */
@@ -59,6 +61,34 @@
     }
   }
 
+  @Parameters
+  static final class Explain implements Options {
+    @ParametersDelegate private final CommonOptions common = new CommonOptions();
+
+    @Parameter(description = "ID", required = true)
+    private String id;
+
+    @Parameter(
+        names = "--logs",
+        required = true,
+        variableArity = true,
+        description = "Files with the output of entries")
+    private List<String> logs = new ArrayList<>();
+
+    @Override
+    public CommonOptions common() {
+      return common;
+    }
+
+    String id() {
+      return id;
+    }
+
+    List<Path> logs() {
+      return logs.stream().map(Path::of).toList();
+    }
+  }
+
   @Parameters
   static final class Keys implements Options {
     @ParametersDelegate private final CommonOptions common = new CommonOptions();
--- a/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/Commands.java
+++ b/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/Commands.java
@@ -65,6 +65,11 @@
         "List the sealed usage",
         new CommandOptions.Plain(),
         (session, options) -> ViewCommands.usage(session));
+    add(
+        "explain",
+        "Show what the logs of entries tell of a request",
+        new CommandOptions.Explain(),
+        (session, options) -> ViewCommands.explain(options.id(), options.logs()));
     add("keys", "Make a key", new CommandOptions.Keys(), Commands::keys);
   }
 
--- /dev/null
+++ b/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/RequestHistory.java
@@ -0,0 +1,165 @@
+package io.samphiregauge.ctl;
+
+import static java.util.Map.entry;
+
+import io.samphiregauge.core.result.Failure;
+import io.samphiregauge.core.result.Result;
+import io.samphiregauge.schema.ctl.Explanation;
+import java.io.IOException;
+import java.nio.charset.MalformedInputException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/** Collects what the logs of entries tell of one request. */
+final class RequestHistory {
+  /** A request suffers from what an entry believed shortly before it; servers start in seconds. */
+  private static final Duration CONTEXT = Duration.ofSeconds(5);
+
+  /** Lines on what an entry believes, whichever server they name. */
+  private static final Set<String> BELIEFS =
+      Set.of(
+          "store_lost",
+          "store_regained",
+          "topic_history_lost",
+          "config_applied",
+          "decisions_dropped",
+          "started",
+          "stopping");
+
+  /** Why an entry ended a request without a server's whole answer, by the type that it logs. */
+  private static final Map<String, String> REFUSALS =
+      Map.ofEntries(
+          entry("no_config", "the entry had no configuration yet"),
+          entry("config_stale", "the store had not confirmed the configuration for too long"),
+          entry("no_server", "no server of the service was usable"),
+          entry("not_connected", "no connection to a server could be opened"),
+          entry("server_full", "the servers rejected it"),
+          entry("prefill_failed", "its prompt could not be prefilled"),
+          entry("crashes_servers", "earlier tries of the same request ended their servers"),
+          entry("answer_lost", "the server's answer was lost, so it may have run"),
+          entry("server_failed", "the server failed it, so it may have run"),
+          entry("timeout", "its time was over"));
+
+  private final String id;
+  private final List<LogFields> history = new ArrayList<>();
+  private final List<LogFields> others = new ArrayList<>();
+
+  /** A log file that cannot be read. */
+  record UnreadableLog(Path file, String reason) implements Failure {
+    @Override
+    public String type() {
+      return "unreadable_log";
+    }
+
+    @Override
+    public String message() {
+      return "The log %s cannot be read: %s".formatted(file, reason);
+    }
+  }
+
+  private RequestHistory(String id) {
+    this.id = id;
+  }
+
+  /**
+   * Reads logs.
+   *
+   * @param id identity of the caller's try
+   * @param logs files with the output of entries
+   * @return what they tell of the request, or which file cannot be read
+   */
+  static Result<Explanation> explain(String id, List<Path> logs) {
+    RequestHistory request = new RequestHistory(id);
+    for (Path log : logs) {
+      try {
+        request.read(Files.readAllLines(log));
+      } catch (MalformedInputException e) {
+        return Result.failed(new UnreadableLog(log, "it is not text in UTF-8"));
+      } catch (IOException e) {
+        return Result.failed(new UnreadableLog(log, e.toString()));
+      }
+    }
+    return Result.success(request.explanation());
+  }
+
+  /** Lines of a log without the request are no context: another entry's beliefs had no part. */
+  private void read(List<String> lines) {
+    List<LogFields> fields = lines.stream().flatMap(l -> LogFields.parse(l).stream()).toList();
+    List<LogFields> own =
+        fields.stream().filter(line -> line.field("id").filter(id::equals).isPresent()).toList();
+    if (!own.isEmpty()) {
+      history.addAll(own);
+      fields.stream().filter(line -> line.field("id").isEmpty()).forEach(others::add);
+    }
+  }
+
+  private Explanation explanation() {
+    history.sort(Comparator.comparing(LogFields::time));
+    others.sort(Comparator.comparing(LogFields::time));
+    return new Explanation(id, cause(), text(history), text(context()));
+  }
+
+  private List<LogFields> context() {
+    if (history.isEmpty()) {
+      return List.of();
+    }
+    Set<String> servers =
+        history.stream()
+            .flatMap(line -> line.field("backend").stream())
+            .collect(Collectors.toSet());
+    Instant from = history.get(0).time().minus(CONTEXT);
+    Instant to = history.get(history.size() - 1).time();
+    return others.stream()
+        .filter(line -> !line.time().isBefore(from) && !line.time().isAfter(to))
+        .filter(
+            line ->
+                BELIEFS.contains(line.event())
+                    || line.field("backend").filter(servers::contains).isPresent())
+        .toList();
+  }
+
+  private String cause() {
+    if (history.isEmpty()) {
+      return "The logs hold no line of this request.";
+    }
+    LogFields last = history.get(history.size() - 1);
+    return switch (last.event()) {
+      case "answered" ->
+          "A server answered it with status %s after %s ms."
+              .formatted(last.field("status").orElse("?"), last.field("took_ms").orElse("?"));
+      case "refused" ->
+          "The entry ended it with status %s, because %s."
+              .formatted(last.field("status").orElse("?"), refusal(last));
+      case "stream_broken" ->
+          "Its stream was broken off: %s".formatted(last.field("cause").orElse("cause not logged"));
+      case "caller_left" ->
+          "The caller left %s."
+              .formatted(has("first_event") ? "after the first event" : "before the first event");
+      default ->
+          "The logs hold no end of it: its entry ended, or lines were dropped, after event %s."
+              .formatted(last.event());
+    };
+  }
+
+  private String refusal(LogFields line) {
+    String type = line.field("type").orElse("?");
+    return Optional.ofNullable(REFUSALS.get(type)).orElse(type);
+  }
+
+  private boolean has(String event) {
+    return history.stream().anyMatch(line -> line.event().equals(event));
+  }
+
+  private static List<String> text(List<LogFields> lines) {
+    return lines.stream().map(LogFields::line).toList();
+  }
+}
--- a/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/ViewCommands.java
+++ b/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/ViewCommands.java
@@ -16,6 +16,7 @@
 import io.samphiregauge.schema.record.UsageFigure;
 import io.samphiregauge.schema.record.UsageReported;
 import io.samphiregauge.schema.record.UsageSealed;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -26,6 +27,22 @@
 final class ViewCommands {
   private ViewCommands() {}
 
+  /** Shows the history of a request, and what its entry believed at that time. */
+  static Result<Report> explain(String id, List<Path> logs) {
+    return RequestHistory.explain(id, logs)
+        .map(
+            found -> {
+              List<String> lines = new ArrayList<>(found.getHistory());
+              if (!found.getContext().isEmpty()) {
+                lines.add("Around that time:");
+                lines.addAll(found.getContext());
+              }
+              lines.add(found.getCause());
+              return new Report(
+                  found, lines, found.getHistory().isEmpty() ? Main.FAILED : Main.DONE);
+            });
+  }
+
   /** Lists the notes of the log, accepted or not. */
   static Result<Report> history(Session session) {
     return session.log().flatMap(LogClient::readAll).map(ViewCommands::history);
--- /dev/null
+++ b/samphiregauge-ctl/src/test/java/io/samphiregauge/ctl/ExplainTest.java
@@ -0,0 +1,66 @@
+package io.samphiregauge.ctl;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Guards against a failed request whose cause the logs hold and nobody finds. */
+class ExplainTest {
+  private static final String LOST =
+      """
+      2026-12-04T09:59:50.000Z level=INFO logger=x event=backend_usable backend=i-9#1 service=desk
+      2026-12-04T09:59:58.100Z level=WARNING logger=x event=store_lost topic=CONFIG cause=timeout
+      2026-12-04T09:59:59.000Z level=INFO logger=x event=backend_unusable backend=i-1#1 service=desk
+      2026-12-04T09:59:59.500Z level=INFO logger=x event=backend_unusable backend=i-2#1 service=desk
+      2026-12-04T10:00:00.000Z event=forward id=ab12 backend=i-1#1 in_flight=0 send=1 left_ms=990
+      2026-12-04T10:00:00.010Z event=forward id=other backend=i-2#1 in_flight=0 send=1 left_ms=990
+      2026-12-04T10:00:00.200Z event=answer_lost id=ab12 backend=i-1#1 cause="Connection reset" begun=false
+      2026-12-04T10:00:00.201Z event=refused id=ab12 status=502 type=answer_lost took_ms=202 route=r team=t
+      event=decisions_dropped count=3
+      """;
+
+  @TempDir private Path folder;
+
+  private Path log(String name, String text) throws IOException {
+    return Files.writeString(folder.resolve(name), text);
+  }
+
+  @Test
+  void showsHistoryContextAndCause() throws IOException {
+    Path one = log("one.log", LOST);
+    Path two = log("two.log", LOST.replace("ab12", "zz").replace("store_lost", "config_applied"));
+    Ctl run = Ctl.run("explain", "ab12", "--json", "--logs", one.toString(), two.toString());
+    assertThat(run.status()).as(run.err()).isZero();
+    assertThat(run.json().path("history")).hasSize(3);
+    assertThat(run.json().path("context").toString())
+        .contains("store_lost", "backend_unusable backend=i-1#1")
+        .doesNotContain("i-2#1", "i-9#1", "config_applied");
+    assertThat(run.json().path("cause").asText()).contains("502", "may have run");
+  }
+
+  @Test
+  void tellsWhenTheLogsHoldNoEnd() throws IOException {
+    String cut = LOST.lines().limit(5).reduce("", (all, line) -> all + line + "\n");
+    Ctl run = Ctl.run("explain", "ab12", "--logs", log("cut.log", cut).toString());
+    assertThat(run.out()).contains("no end of it").contains("event=forward id=ab12");
+  }
+
+  @Test
+  void failsForARequestThatNoLogKnows() throws IOException {
+    Ctl run = Ctl.run("explain", "nobody", "--logs", log("one.log", LOST).toString());
+    assertThat(run.status()).isEqualTo(1);
+    assertThat(run.out()).contains("no line of this request");
+  }
+
+  @Test
+  void namesALogThatCannotBeRead() {
+    Ctl run = Ctl.run("explain", "ab12", "--json", "--logs", "/nowhere/x.log");
+    assertThat(run.status()).isEqualTo(1);
+    assertThat(run.error().path("type").asText()).isEqualTo("unreadable_log");
+    assertThat(run.error().path("message").asText()).contains("/nowhere/x.log");
+  }
+}
