--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerChooser.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerChooser.java
@@ -1,6 +1,7 @@
 package io.samphiregauge.core.dispatch;
 
 import io.samphiregauge.core.backend.BackendServer;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.ToDoubleFunction;
@@ -40,14 +41,17 @@
   private static final double FETCH_MS_PER_TOKEN = 0.0004;
 
   private final String domain;
+  private final Sampling sampling;
 
   /**
    * Makes a chooser for one entry.
    *
    * @param domain failure domain of the entry
+   * @param sampling chooses the servers that are compared
    */
-  public ServerChooser(String domain) {
+  public ServerChooser(String domain, Sampling sampling) {
     this.domain = domain;
+    this.sampling = sampling;
   }
 
   /**
@@ -73,7 +77,7 @@
    */
   public Optional<ServerLoad> plain(List<ServerLoad> servers, long nowMs) {
     return least(
-        servers,
+        sampling.candidates(servers, nowMs),
         nowMs,
         load -> (load.allInFlight() + 1) * load.latencyMs() + generalCost(load, domain));
   }
@@ -93,7 +97,9 @@
     }
     CacheDirectory cached = CacheDirectory.of(prompt, servers, nowMs);
     Optional<ServerLoad> home = cached.isEmpty() ? home(prompt, servers) : Optional.empty();
-    return least(servers, nowMs, load -> prefillCost(prompt, load, cached, home))
+    List<ServerLoad> candidates = new ArrayList<>(sampling.candidates(servers, nowMs));
+    home.filter(load -> !candidates.contains(load)).ifPresent(candidates::add);
+    return least(candidates, nowMs, load -> prefillCost(prompt, load, cached, home))
         .map(load -> plan(prompt, load, cached));
   }
 
@@ -150,7 +156,7 @@
     List<ServerLoad> engines =
         servers.stream().filter(load -> !load.server().prefillOnly()).toList();
     return least(
-        engines,
+        sampling.candidates(engines, nowMs),
         nowMs,
         load ->
             load.allInFlight() * RUNNING_REQUEST_MS + queueMs(load) + generalCost(load, source));
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/dispatch/ServerChooserTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/dispatch/ServerChooserTest.java
@@ -7,15 +7,18 @@
 import io.samphiregauge.core.backend.EngineStage;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 
 class ServerChooserTest {
   private static final long NOW_MS = 1_000;
-  private final ServerChooser chooser = new ServerChooser("a");
+  private final ServerChooser chooser = new ServerChooser("a", Sampling.all());
 
   private static ServerLoad server(String id, String domain, Optional<EngineStage> stage) {
     return new ServerLoad(
@@ -50,7 +53,7 @@
       Prompt prompt = prompt("part" + part, 13_000, 3_000);
       String here = choice(prompt, engines());
       chosen.add(here);
-      ServerChooser elsewhere = new ServerChooser("b");
+      ServerChooser elsewhere = new ServerChooser("b", Sampling.all());
       List<ServerLoad> reversed = new ArrayList<>(engines());
       Collections.reverse(reversed);
       assertThat(elsewhere.prefill(prompt, reversed, NOW_MS).orElseThrow().server().server().id())
@@ -165,6 +168,42 @@
     assertThat(chooser.plain(List.of(busy, idle), NOW_MS)).contains(idle);
   }
 
+  /**
+   * Guards against entries that all send to the server that was least loaded when the loads were
+   * last exchanged.
+   */
+  @Test
+  void entriesWithOldLoadsSpreadOverTheServers() {
+    List<ServerLoad> servers = new ArrayList<>();
+    for (int i = 0; i < 40; i++) {
+      servers.add(server("s" + i, i % 4 == 0 ? "a" : "b", Optional.empty()));
+      servers.get(i).others(i, 0);
+    }
+    SplittableRandom seeded = new SplittableRandom(3);
+    ServerChooser entry = new ServerChooser("a", Sampling.few("a", seeded::nextLong));
+    Map<ServerLoad, Integer> chosen = new HashMap<>();
+    for (int i = 0; i < 1_000; i++) {
+      chosen.merge(entry.plain(servers, NOW_MS).orElseThrow(), 1, Integer::sum);
+    }
+    assertThat(chosen.values()).allMatch(count -> count < 500);
+    assertThat(chosen.getOrDefault(servers.get(0), 0)).isGreaterThan(1_000 / servers.size());
+  }
+
+  /** Guards against a request for a failing server, only because few servers are compared. */
+  @Test
+  void comparesHealthyServersOnly() {
+    List<ServerLoad> servers = new ArrayList<>();
+    for (int i = 0; i < 10; i++) {
+      servers.add(server("s" + i, "a", Optional.empty()));
+      servers.get(i).unreachable(NOW_MS);
+    }
+    ServerLoad healthy = server("healthy", "b", Optional.empty());
+    servers.add(healthy);
+    SplittableRandom seeded = new SplittableRandom(4);
+    assertThat(Sampling.few("a", seeded::nextLong).candidates(servers, NOW_MS))
+        .containsExactly(healthy);
+  }
+
   /** Guards against a memory model that never forgets. */
   @Test
   void prefixMemoryEvictsTheLeastRecentlyUsed() {
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/PeerLoads.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/PeerLoads.java
@@ -57,7 +57,7 @@
 
   private void send() {
     List<Member> members = traffic.view().members();
-    traffic.after(Math.max(MIN_PERIOD_MS, members.size() * PERIOD_MS_PER_MEMBER), this::send);
+    traffic.after(periodMs(members.size()), this::send);
     BackendLoads own = new BackendLoads(self.vm(), own(), traffic.cacheNews().take());
     for (Member member : members) {
       if (!member.vm().equals(self.vm())) {
@@ -66,6 +66,11 @@
     }
   }
 
+  /** Returns the time between two messages of an entry, in milliseconds. */
+  static long periodMs(int members) {
+    return Math.max(MIN_PERIOD_MS, members * PERIOD_MS_PER_MEMBER);
+  }
+
   private List<BackendLoad> own() {
     List<BackendLoad> loads = new ArrayList<>();
     for (ServerLoad load : traffic.servers().all()) {
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Traffic.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Traffic.java
@@ -1,8 +1,10 @@
 package io.samphiregauge.gateway.traffic;
 
 import io.netty.channel.EventLoop;
+import io.samphiregauge.core.RandomSource;
 import io.samphiregauge.core.admit.RetryBudget;
 import io.samphiregauge.core.dispatch.Prompt;
+import io.samphiregauge.core.dispatch.Sampling;
 import io.samphiregauge.core.dispatch.ServerChooser;
 import io.samphiregauge.core.dispatch.ServerLoad;
 import io.samphiregauge.gateway.GatewayView;
@@ -25,6 +27,9 @@
   /** Neighbouring failure domains are a few milliseconds apart. */
   private static final int CONNECT_TIMEOUT_MS = 300;
 
+  /** Within this time most prompts are prefilled, and a load that is older tells little. */
+  private static final long MAX_LOAD_AGE_MS = 300;
+
   private final EventLoop loop;
   private final EntrySettings settings;
   private final Dialect dialect;
@@ -46,6 +51,7 @@
       EntrySettings settings,
       Dialect dialect,
       CallRouting routing,
+      RandomSource random,
       Supplier<GatewayView> views,
       BiConsumer<String, Moment> usage,
       Consumer<CrashRecord> crashPublisher,
@@ -62,7 +68,11 @@
     this.pool = new HttpPool(loop, CONNECT_TIMEOUT_MS);
     this.calls = new HttpCalls(loop);
     this.crashes = new CrashWatch(this, crashPublisher);
-    this.chooser = new ServerChooser(settings.getFailureDomain());
+    Sampling few = Sampling.few(settings.getFailureDomain(), random);
+    this.chooser =
+        new ServerChooser(
+            settings.getFailureDomain(),
+            (servers, nowMs) -> (loadsAreOld() ? few : Sampling.all()).candidates(servers, nowMs));
   }
 
   Dialect dialect() {
@@ -89,6 +99,10 @@
     return decisions;
   }
 
+  private boolean loadsAreOld() {
+    return PeerLoads.periodMs(views.get().members().size()) > MAX_LOAD_AGE_MS;
+  }
+
   /** Returns the newest view, after the servers were brought up to it. */
   GatewayView view() {
     GatewayView view = views.get();
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/TrafficSide.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/TrafficSide.java
@@ -81,6 +81,7 @@
             settings.get(),
             dialect,
             routing,
+            RANDOM,
             views,
             usage,
             crashes,
