Let two entries of a large failure domain read the announcements for all

Ruled out: long polls (each heartbeat would end them) and sharing the configuration too (a large one would fill the 10 Mbit/s links of the entries, and keys must be confirmed by the store itself).

In a domain of more than four entries the first two of the group read the store; the others ask them over the peer transport and get only what changed. An entry whose neighbours do not answer, or whose knowledge is older than half of the drain time, reads the store itself. SiteFollower is split into ConfigFollower and BackendFollower.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/backend/BackendBook.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/backend/BackendBook.java
@@ -55,17 +55,19 @@
    *
    * @param all the announcements that stand now, by identifier
    * @param nowMs monotonic time
-   * @return whether the usable servers changed
+   * @return identifiers of the servers whose announcement changed
    */
-  public boolean replace(Map<String, BackendServer> all, long nowMs) {
-    boolean changed = false;
+  public List<String> replace(Map<String, BackendServer> all, long nowMs) {
+    List<String> changed = new ArrayList<>();
     for (String id : List.copyOf(present.keySet())) {
-      if (!all.containsKey(id)) {
-        changed |= announce(id, Optional.empty(), nowMs);
+      if (!all.containsKey(id) && announce(id, Optional.empty(), nowMs)) {
+        changed.add(id);
       }
     }
     for (Map.Entry<String, BackendServer> entry : all.entrySet()) {
-      changed |= announce(entry.getKey(), Optional.of(entry.getValue()), nowMs);
+      if (announce(entry.getKey(), Optional.of(entry.getValue()), nowMs)) {
+        changed.add(entry.getKey());
+      }
     }
     return changed;
   }
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/backend/BackendBookTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/backend/BackendBookTest.java
@@ -72,7 +72,7 @@
   void replacingDropsWhatIsGone() {
     announce(server("s", 1, false), 0);
     announce(server("t", 1, false), 0);
-    assertThat(book.replace(Map.of("t", server("t", 1, false)), 10)).isTrue();
+    assertThat(book.replace(Map.of("t", server("t", 1, false)), 10)).containsExactly("s");
     book.expire(1_010);
     assertThat(book.usable()).containsExactly(server("t", 1, false));
   }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/Gateway.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/Gateway.java
@@ -108,11 +108,12 @@
             view::get,
             control::count,
             control::crashed,
+            control::received,
             new GatewayMetrics(),
             log)
         .map(
             traffic -> {
-              control.start(traffic::crashed);
+              control.start(traffic::crashed, traffic::send);
               control.every(SettingsWatch.PERIOD_MS, watch::reload);
               LOG.log(
                   Level.INFO,
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/Moment.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/Moment.java
@@ -18,6 +18,16 @@
     return new Moment(System.nanoTime() / NANOS_PER_MS, System.currentTimeMillis());
   }
 
+  /**
+   * Returns an earlier moment.
+   *
+   * @param ms time before this moment, in milliseconds
+   * @return the earlier moment
+   */
+  public Moment minus(long ms) {
+    return new Moment(monotonicMs - ms, wallMs - ms);
+  }
+
   /**
    * Returns the time since another moment.
    *
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
@@ -11,6 +11,7 @@
 import io.samphiregauge.gateway.port.StoreRecord;
 import io.samphiregauge.gateway.port.Topic;
 import io.samphiregauge.net.Codec;
+import io.samphiregauge.schema.PeerMessage;
 import io.samphiregauge.schema.gateway.CrashRecord;
 import io.samphiregauge.schema.gateway.EntrySettings;
 import java.lang.System.Logger;
@@ -18,6 +19,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 /** Everything that the control thread does, and the view that it publishes. */
@@ -29,7 +31,8 @@
   private final ControlThread control = new ControlThread();
 
   private final SharedStore store;
-  private final SiteFollower site;
+  private final ConfigFollower configs;
+  private final BackendFollower backends;
   private final GroupFollower group;
   private final UsageCounter usage;
   private final Optional<DutyWorker> duties;
@@ -54,15 +57,12 @@
       Consumer<GatewayView> publisher) {
     this.publisher = publisher;
     this.store = store;
-    this.site =
-        new SiteFollower(
-            control,
-            store,
-            reader,
-            settings.getDrainMs(),
-            settings.getRevocationMs(),
-            this::publish);
+    this.configs =
+        new ConfigFollower(control, store, reader, settings.getRevocationMs(), this::publish);
     this.group = new GroupFollower(control, store, self, this::publish);
+    this.backends =
+        new BackendFollower(
+            control, store, reader, group, self, settings.getDrainMs(), this::publish);
     long windowMs = settings.getUsageWindowS() * MS_PER_S;
     this.usage = new UsageCounter(control, store, self, windowMs, () -> group.members().size());
     this.duties =
@@ -84,18 +84,30 @@
    * Starts to follow the store.
    *
    * @param crashes takes each crash that another entry has published
+   * @param peers sends a message to the peer address of another entry
    */
-  public void start(Consumer<CrashRecord> crashes) {
+  public void start(Consumer<CrashRecord> crashes, BiConsumer<String, PeerMessage> peers) {
     control.post(
         () -> {
           new CrashFollower(control, store, crashes).start();
-          site.start();
+          configs.start();
+          backends.start(peers);
           group.start();
           usage.start();
           duties.ifPresent(DutyWorker::start);
         });
   }
 
+  /**
+   * Takes a message of another entry; safe for all threads.
+   *
+   * @param from peer address of the sender
+   * @param message the message
+   */
+  public void received(String from, PeerMessage message) {
+    control.post(() -> backends.received(from, message));
+  }
+
   /**
    * Tells the other entries of a request whose server ended; safe for all threads.
    *
@@ -160,23 +172,24 @@
   }
 
   private List<DomainTarget> targets() {
-    return site.config()
-        .filter(config -> site.serversKnown())
+    return configs
+        .config()
+        .filter(config -> backends.serversKnown())
         .map(DomainTargets::plan)
         .orElse(List.of());
   }
 
   private int present(DomainTarget target) {
-    return (int) site.servers().stream().filter(target::includes).count();
+    return (int) backends.servers().stream().filter(target::includes).count();
   }
 
   private void publish() {
     publisher.accept(
         new GatewayView(
-            site.config(),
-            site.configAsOf(),
-            site.servers(),
-            site.serversVersion(),
+            configs.config(),
+            configs.configAsOf(),
+            backends.servers(),
+            backends.serversVersion(),
             group.members()));
   }
 }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/TopicFollower.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/TopicFollower.java
@@ -11,6 +11,8 @@
 import java.lang.System.Logger.Level;
 import java.util.List;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 /**
  * Follows a keyed topic: first the newest record of each key, then what comes after. It starts over
@@ -30,15 +32,19 @@
   private final BiConsumer<List<StoreRecord>, Moment> changes;
   private long nextOffset;
   private boolean failing;
-  private boolean stopped;
+
+  /** Number of the newest start; what belongs to an earlier one is ignored. */
+  private long run;
+
+  private boolean stopped = true;
 
   /**
    * How often a topic is read.
    *
    * @param waitMs time for which the store holds a read back until there is a record
-   * @param periodMs least time between the starts of two reads
+   * @param periodMs gives the least time between the starts of two reads, in milliseconds
    */
-  record Pace(int waitMs, long periodMs) {}
+  record Pace(int waitMs, LongSupplier periodMs) {}
 
   /**
    * Prepares to follow a topic.
@@ -66,8 +72,31 @@
   }
 
   void start() {
+    run++;
+    stopped = false;
+    readNewest();
+  }
+
+  private void readNewest() {
     Moment asked = Moment.now();
-    control.take(store.newest().read(topic), result -> startFrom(result, asked));
+    control.take(
+        store.newest().read(topic),
+        inThisRun((Result<StorePage.Records> r) -> startFrom(r, asked)));
+  }
+
+  /** Drops what comes after a stop, also if the follower was started again since. */
+  private <T> Consumer<T> inThisRun(Consumer<T> taker) {
+    long current = run;
+    return value -> {
+      if (!stopped && run == current) {
+        taker.accept(value);
+      }
+    };
+  }
+
+  private void later(long delayMs, Runnable next) {
+    Consumer<Runnable> guarded = inThisRun(Runnable::run);
+    control.after(delayMs, () -> guarded.accept(next));
   }
 
   void stop() {
@@ -75,9 +104,6 @@
   }
 
   private void startFrom(Result<StorePage.Records> result, Moment asked) {
-    if (stopped) {
-      return;
-    }
     result.fold(
         page -> {
           regained();
@@ -86,13 +112,13 @@
           tail(asked);
           return true;
         },
-        failure -> retry(failure, this::start));
+        failure -> retry(failure, this::readNewest));
   }
 
   private void tail(Moment last) {
-    long waitMs = pace.periodMs() - Moment.now().since(last);
+    long waitMs = pace.periodMs().getAsLong() - Moment.now().since(last);
     if (waitMs > 0) {
-      control.after(waitMs, this::read);
+      later(waitMs, this::read);
     } else {
       read();
     }
@@ -101,13 +127,11 @@
   private void read() {
     Moment asked = Moment.now();
     control.take(
-        store.tail().read(topic, nextOffset, pace.waitMs()), result -> next(result, asked));
+        store.tail().read(topic, nextOffset, pace.waitMs()),
+        inThisRun((Result<StorePage> result) -> next(result, asked)));
   }
 
   private void next(Result<StorePage> result, Moment asked) {
-    if (stopped) {
-      return;
-    }
     result.fold(page -> next(page, asked), failure -> retry(failure, this::read));
   }
 
@@ -115,7 +139,7 @@
     regained();
     if (!(page instanceof StorePage.Records records) || records.nextOffset() < nextOffset) {
       LOG.log(Level.INFO, "event=topic_history_lost topic=" + topic + " next_offset=" + nextOffset);
-      start();
+      readNewest();
       return true;
     }
     changes.accept(records.records(), asked);
@@ -131,7 +155,7 @@
           Level.WARNING,
           "event=store_lost topic=" + topic + " cause=" + failure.type() + " " + failure.message());
     }
-    control.after(RETRY_MS, again);
+    later(RETRY_MS, again);
     return true;
   }
 
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/TrafficSide.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/TrafficSide.java
@@ -15,6 +15,7 @@
 import io.samphiregauge.net.LogLines;
 import io.samphiregauge.net.PeerReceiver;
 import io.samphiregauge.net.PeerTransport;
+import io.samphiregauge.schema.PeerMessage;
 import io.samphiregauge.schema.gateway.CrashRecord;
 import io.samphiregauge.schema.gateway.EntrySettings;
 import io.samphiregauge.schema.peer.BackendLoads;
@@ -39,11 +40,17 @@
   private final GatewayMetrics metrics;
   private final Traffic traffic;
   private final AtomicBoolean stopping;
+  private final PeerTransport peers;
   private final HttpServer server;
 
   private TrafficSide(
-      GatewayMetrics metrics, Traffic traffic, AtomicBoolean stopping, HttpServer server) {
+      GatewayMetrics metrics,
+      Traffic traffic,
+      AtomicBoolean stopping,
+      PeerTransport peers,
+      HttpServer server) {
     this.metrics = metrics;
+    this.peers = peers;
     this.traffic = traffic;
     this.stopping = stopping;
     this.server = server;
@@ -59,6 +66,7 @@
    * @param views gives the newest view
    * @param usage takes the team of each request that begins to run, and when it began
    * @param crashes takes the requests whose servers ended, to tell other entries
+   * @param messages takes the messages of other entries that are not about traffic
    * @param metrics takes counts and latencies
    * @param log takes a line for each decision
    * @return the serving side, or why the address could not be bound
@@ -71,6 +79,7 @@
       Supplier<GatewayView> views,
       BiConsumer<String, Moment> usage,
       Consumer<CrashRecord> crashes,
+      BiConsumer<String, PeerMessage> messages,
       GatewayMetrics metrics,
       LogLines log) {
     EventLoop loop = loops.next();
@@ -88,9 +97,11 @@
             metrics,
             new DecisionLines(loop, log));
     AtomicBoolean stopping = new AtomicBoolean();
-    return startPeerLoads(loops, self, traffic)
-        .flatMap(peers -> listen(self, loop, traffic, stopping))
-        .map(server -> new TrafficSide(metrics, traffic, stopping, server));
+    return startPeers(loops, self, traffic, messages)
+        .flatMap(
+            peers ->
+                listen(self, loop, traffic, stopping)
+                    .map(server -> new TrafficSide(metrics, traffic, stopping, peers, server)));
   }
 
   private static Result<HttpServer> listen(
@@ -103,14 +114,19 @@
         channel -> new CallerHandler(traffic, stopping::get));
   }
 
-  private static Result<PeerTransport> startPeerLoads(
-      EventLoopGroup loops, Member self, Traffic traffic) {
+  private static Result<PeerTransport> startPeers(
+      EventLoopGroup loops,
+      Member self,
+      Traffic traffic,
+      BiConsumer<String, PeerMessage> messages) {
     AtomicReference<Optional<PeerLoads>> loads = new AtomicReference<>(Optional.empty());
     Incarnation process = new Incarnation(self.vm(), self.boot(), RANDOM.nextLong());
     PeerReceiver receiver =
         (from, message) -> {
           if (message instanceof BackendLoads received) {
             traffic.execute(() -> loads.get().ifPresent(taker -> taker.take(received)));
+          } else {
+            messages.accept(from, message);
           }
         };
     return PeerTransport.start(
@@ -147,6 +163,16 @@
     traffic.execute(() -> traffic.crashes().take(crash));
   }
 
+  /**
+   * Sends a message to another entry; safe for all threads. It may be lost.
+   *
+   * @param peerAddress peer address of the entry
+   * @param message the message
+   */
+  public void send(String peerAddress, PeerMessage message) {
+    peers.send(peerAddress, message);
+  }
+
   /** Answers from now on end their connections, so that callers ask the directory again. */
   public void stopKeepingConnections() {
     stopping.set(true);
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/Codec.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/Codec.java
@@ -17,6 +17,8 @@
 import io.samphiregauge.schema.order.LoadModel;
 import io.samphiregauge.schema.order.StartBackends;
 import io.samphiregauge.schema.order.StopBackend;
+import io.samphiregauge.schema.peer.AnnouncementsQuery;
+import io.samphiregauge.schema.peer.AnnouncementsReply;
 import io.samphiregauge.schema.peer.BackendLoads;
 import io.samphiregauge.schema.peer.IndirectProbe;
 import io.samphiregauge.schema.peer.LoadDigest;
@@ -100,7 +102,9 @@
           SuspicionNotice.class,
           SuspicionAck.class,
           LoadDigest.class,
-          BackendLoads.class);
+          BackendLoads.class,
+          AnnouncementsQuery.class,
+          AnnouncementsReply.class);
 
   private static final Codec JSON =
       new Codec(JsonMapper.builder().build(), SchemaIntrospector.forObjects(), bytes -> {});
