Do not wait for the usage of a process that was replaced

A window was held back until all processes that had counted in it had counted later, or for 7 of 10 s; killed processes never do, so the window was reported 0.5 s late. Ruled out: the take-over itself (a holder was there from 10.5 s to 14.5 s, window due at 17.0 s) and the store (no store_lost before 20.8 s).

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/duty/UsageTally.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/duty/UsageTally.java
@@ -27,16 +27,25 @@
   /** Windows before one in which a process counted that should also have counted in it. */
   private static final int EARLIER_WINDOWS = 2;
 
-  private final TreeMap<Long, Map<String, Map<String, Long>>> windows = new TreeMap<>();
+  private final TreeMap<Long, Map<Counter, Map<String, Long>>> windows = new TreeMap<>();
+  private final Map<String, Long> newestBoots = new HashMap<>();
+
+  /**
+   * A process that counts.
+   *
+   * @param vm its VM
+   * @param boot its start, in milliseconds since 1970
+   */
+  public record Counter(String vm, long boot) {}
 
   /**
    * Counts a request that began to run.
    *
-   * @param process name of the process that counts
+   * @param process the process that counts
    * @param window number of the window
    * @param team team that is charged
    */
-  public void count(String process, long window, String team) {
+  public void count(Counter process, long window, String team) {
     counts(process, window).merge(team, 1L, Long::sum);
     trim();
   }
@@ -47,7 +56,8 @@
    * @param entry the record
    */
   public void merge(UsageRecord entry) {
-    String process = entry.getVm() + "@" + entry.getBoot();
+    Counter process = new Counter(entry.getVm(), entry.getBoot());
+    newestBoots.merge(process.vm(), process.boot(), Math::max);
     for (SealedUsage usage : entry.getWindows()) {
       Map<String, Long> counts = counts(process, usage.getWindow());
       usage.getCounts().forEach((team, count) -> counts.merge(team, count, Math::max));
@@ -58,12 +68,12 @@
   /**
    * Returns the newest windows of a process, as its record carries them.
    *
-   * @param process name of the process
+   * @param process the process
    * @return windows with their counts, oldest first
    */
-  public List<SealedUsage> newest(String process) {
+  public List<SealedUsage> newest(Counter process) {
     List<SealedUsage> newest = new ArrayList<>();
-    for (Map.Entry<Long, Map<String, Map<String, Long>>> window :
+    for (Map.Entry<Long, Map<Counter, Map<String, Long>>> window :
         windows.descendingMap().entrySet()) {
       if (newest.size() == RECORD_WINDOWS) {
         break;
@@ -91,23 +101,25 @@
 
   /**
    * Returns whether the counts of a window are whole: each process that counted in it, or in the
-   * two windows before it, has already written counts of a later one.
+   * two windows before it, has already written counts of a later one, or has been followed by
+   * another process on its VM and writes nothing more.
    *
    * @param window number of the window
    * @return whether no process is known whose counts may be missing
    */
   public boolean isWhole(long window) {
-    Set<String> counting = new HashSet<>();
+    Set<Counter> counting = new HashSet<>();
     windows
         .subMap(window - EARLIER_WINDOWS, true, window, true)
         .values()
         .forEach(counts -> counting.addAll(counts.keySet()));
-    Set<String> later = new HashSet<>();
+    counting.removeIf(process -> process.boot() < newestBoots.getOrDefault(process.vm(), 0L));
+    Set<Counter> later = new HashSet<>();
     windows.tailMap(window, false).values().forEach(counts -> later.addAll(counts.keySet()));
     return later.containsAll(counting);
   }
 
-  private Map<String, Long> counts(String process, long window) {
+  private Map<String, Long> counts(Counter process, long window) {
     return windows
         .computeIfAbsent(window, key -> new HashMap<>())
         .computeIfAbsent(process, key -> new HashMap<>());
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/duty/UsageTallyTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/duty/UsageTallyTest.java
@@ -48,14 +48,26 @@
     assertThat(tally.isWhole(8)).isFalse();
   }
 
+  /** Guards against a late report that waits for the counts of a process that was killed. */
+  @Test
+  void windowDoesNotWaitForAProcessThatWasReplaced() {
+    UsageTally tally = new UsageTally();
+    tally.merge(counts("a", 1, 7, Map.of("x", 5L)));
+    tally.merge(counts("b", 1, 7, Map.of("x", 5L)));
+    tally.merge(counts("b", 1, 8, Map.of("x", 5L)));
+    assertThat(tally.isWhole(7)).isFalse();
+    tally.merge(counts("a", 2, 8, Map.of("x", 1L)));
+    assertThat(tally.isWhole(7)).isTrue();
+  }
+
   /** Guards against memory that grows with each window. */
   @Test
   void carriesTheNewestWindowsOnly() {
     UsageTally tally = new UsageTally();
     for (long window = 0; window < 100; window++) {
-      tally.count("a@1", window, "x");
+      tally.count(new UsageTally.Counter("a", 1), window, "x");
     }
-    assertThat(tally.newest("a@1"))
+    assertThat(tally.newest(new UsageTally.Counter("a", 1)))
         .extracting(SealedUsage::getWindow)
         .containsExactly(97L, 98L, 99L);
     assertThat(tally.total(3).getCounts()).isEmpty();
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/UsageCounter.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/UsageCounter.java
@@ -32,6 +32,7 @@
   private final Member self;
   private final long windowMs;
   private final IntSupplier processes;
+  private final UsageTally.Counter process;
   private final TrustedTime time;
   private final UsageTally tally = new UsageTally();
   private boolean unwritten;
@@ -42,6 +43,7 @@
     this.control = control;
     this.store = store;
     this.self = self;
+    this.process = new UsageTally.Counter(self.vm(), self.boot());
     this.windowMs = windowMs;
     Moment now = Moment.now();
     this.time = new TrustedTime(now.monotonicMs(), now.wallMs());
@@ -58,7 +60,7 @@
   }
 
   void count(String team, long beganAgoMs) {
-    tally.count(process(), Math.floorDiv(millis() - beganAgoMs, windowMs), team);
+    tally.count(process, Math.floorDiv(millis() - beganAgoMs, windowMs), team);
     unwritten = true;
   }
 
@@ -83,7 +85,7 @@
 
   private void write() {
     unwritten = false;
-    UsageRecord entry = new UsageRecord(self.vm(), self.boot(), tally.newest(process()));
+    UsageRecord entry = new UsageRecord(self.vm(), self.boot(), tally.newest(process));
     byte[] bytes = Codec.json().encode(entry);
     control.take(
         store
@@ -91,8 +93,4 @@
             .append(Topic.USAGE, new StoreRecord("", Optional.of(bytes)), OptionalLong.empty()),
         result -> unwritten = unwritten || result.value().isEmpty());
   }
-
-  private String process() {
-    return self.vm() + "@" + self.boot();
-  }
 }
