Read the crashes less often in a large fleet

The period now grows with the number of entries, to 2.2 s, below the 3 s within which a crash must be known. With up to 40 entries nothing changes.

--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/CrashFollower.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/CrashFollower.java
@@ -11,6 +11,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 
 /** Follows the requests whose servers ended, as all entries publish them. */
 final class CrashFollower {
@@ -21,17 +22,26 @@
 
   private static final long RETRY_MS = 2_000;
 
-  /** A store that does not know the topic yet may answer at once. */
+  /** A store answers at once where the topic is still empty. */
   private static final long MIN_PERIOD_MS = 1_000;
 
+  /** Entries read less often the more they are, since all reads are paid for. */
+  private static final long PERIOD_MS_PER_MEMBER = 25;
+
+  /** Crashes have to be known everywhere within 3 s, the shortest bound of the deployments. */
+  private static final long MAX_PERIOD_MS = 2_200;
+
   private final ControlThread control;
   private final SharedStore store;
+  private final IntSupplier members;
   private final Consumer<CrashRecord> taker;
   private long nextOffset;
 
-  CrashFollower(ControlThread control, SharedStore store, Consumer<CrashRecord> taker) {
+  CrashFollower(
+      ControlThread control, SharedStore store, IntSupplier members, Consumer<CrashRecord> taker) {
     this.control = control;
     this.store = store;
+    this.members = members;
     this.taker = taker;
   }
 
@@ -46,7 +56,8 @@
     result.fold(
         page -> {
           take(page);
-          control.after(Math.max(0, MIN_PERIOD_MS - Moment.now().since(asked)), this::start);
+          long periodMs = periodMs(members.getAsInt());
+          control.after(Math.max(0, periodMs - Moment.now().since(asked)), this::start);
           return true;
         },
         failure -> {
@@ -55,6 +66,12 @@
         });
   }
 
+  /** Returns the least time between the starts of two reads, in milliseconds. */
+  static long periodMs(int members) {
+    long share = members * PERIOD_MS_PER_MEMBER;
+    return Math.min(MAX_PERIOD_MS, Math.max(MIN_PERIOD_MS, share));
+  }
+
   private void take(StorePage page) {
     if (page instanceof StorePage.Expired expired) {
       nextOffset = expired.firstOffset();
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
@@ -89,7 +89,7 @@
   public void start(Consumer<CrashRecord> crashes, BiConsumer<String, PeerMessage> peers) {
     control.post(
         () -> {
-          new CrashFollower(control, store, crashes).start();
+          new CrashFollower(control, store, () -> group.members().size(), crashes).start();
           configs.start();
           backends.start(peers);
           group.start();
