--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/Rendezvous.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/Rendezvous.java
@@ -1,9 +1,8 @@
 package io.samphiregauge.core.dispatch;
 
-import java.nio.charset.StandardCharsets;
+import io.samphiregauge.core.TextHash;
 import java.util.List;
 import java.util.Optional;
-import java.util.zip.CRC32C;
 
 /** Highest-random-weight hashing, by which all entries agree without talking. */
 final class Rendezvous {
@@ -33,14 +32,12 @@
 
   /** Returns a fraction between 0 and 1 that only the key and the server decide. */
   private static double draw(String key, String server) {
-    long hash = mix(crc(key) * GOLDEN ^ mix(crc(server)));
+    long hash = mix(hash(key) * GOLDEN ^ mix(hash(server)));
     return ((hash >>> 11) + 0.5) * 0x1.0p-53;
   }
 
-  private static long crc(String text) {
-    CRC32C crc = new CRC32C();
-    crc.update(text.getBytes(StandardCharsets.UTF_8));
-    return crc.getValue();
+  private static long hash(String text) {
+    return Integer.toUnsignedLong(TextHash.crc32c(text));
   }
 
   /** Spreads the bits, as the finalizer of SplitMix64 does. */
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/Moment.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/Moment.java
@@ -15,7 +15,12 @@
 
   /** Returns the present moment. */
   public static Moment now() {
-    return new Moment(System.nanoTime() / NANOS_PER_MS, System.currentTimeMillis());
+    return new Moment(nowMs(), System.currentTimeMillis());
+  }
+
+  /** Returns the present monotonic time, in milliseconds. */
+  public static long nowMs() {
+    return System.nanoTime() / NANOS_PER_MS;
   }
 
   /**
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/Pages.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/Pages.java
@@ -20,7 +20,7 @@
 
 /** Serves small answers that are made at once, such as a readiness check. */
 public final class Pages {
-  private static final Clock CLOCK = () -> Moment.now().monotonicMs();
+  private static final Clock CLOCK = () -> Moment.nowMs();
 
   private Pages() {}
 
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/BackendFollower.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/BackendFollower.java
@@ -291,8 +291,8 @@
         .ifPresent(
             atMs ->
                 control.after(
-                    Math.max(0, atMs - Moment.now().monotonicMs()),
-                    () -> publish(book.expire(Moment.now().monotonicMs()))));
+                    Math.max(0, atMs - Moment.nowMs()),
+                    () -> publish(book.expire(Moment.nowMs()))));
     List<BackendServer> next = book.usable();
     if (!next.equals(servers)) {
       logDifference(servers, next);
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
@@ -115,7 +115,7 @@
     if (stopped) {
       return;
     }
-    boolean holder = register.holds(nowMs());
+    boolean holder = register.holds(Moment.nowMs());
     logHolder(holder);
     int rank = Math.min(MAX_RANK_STEPS, group.rank());
     control.after(holder ? RENEW_MS : RENEW_MS + rank * LATER_RANK_MS, this::tick);
@@ -151,9 +151,9 @@
         .value()
         .ifPresent(
             page -> {
-              register.read(current(page), page.nextOffset(), nowMs());
+              register.read(current(page), page.nextOffset(), Moment.nowMs());
               if (!stopped) {
-                register.claim(nowMs()).ifPresent(write -> write(write, this::takeOver));
+                register.claim(Moment.nowMs()).ifPresent(write -> write(write, this::takeOver));
               }
             });
   }
@@ -202,7 +202,7 @@
   private boolean written(DutyRegister.Write write, AppendResult result, Runnable next) {
     if (result instanceof AppendResult.Appended appended) {
       register.written(write, appended.endOffset());
-      heldUntilMs.set(register.holds(nowMs()) ? register.heldUntilMs() : Long.MIN_VALUE);
+      heldUntilMs.set(register.holds(Moment.nowMs()) ? register.heldUntilMs() : Long.MIN_VALUE);
       next.run();
       return true;
     }
@@ -240,7 +240,7 @@
       return;
     }
     register
-        .renew(next(register.value().orElseThrow(), sealUpTo), nowMs())
+        .renew(next(register.value().orElseThrow(), sealUpTo), Moment.nowMs())
         .ifPresent(write -> write(write, this::report));
   }
 
@@ -321,7 +321,7 @@
   /** Reports the oldest sealed window that is not reported yet, unchanged by whoever sealed it. */
   private void report() {
     Optional<DutyRecord> value = register.value();
-    if (reporting || value.isEmpty() || !register.holds(nowMs())) {
+    if (reporting || value.isEmpty() || !register.holds(Moment.nowMs())) {
       return;
     }
     long done = Math.max(reportedWindow, value.orElseThrow().getReportedWindow());
@@ -354,10 +354,6 @@
 
   private FleetApi.Authority authority() {
     return new FleetApi.Authority(
-        self.vm(), register.token(), () -> !stopped && nowMs() < heldUntilMs.get());
-  }
-
-  private static long nowMs() {
-    return Moment.now().monotonicMs();
+        self.vm(), register.token(), () -> !stopped && Moment.nowMs() < heldUntilMs.get());
   }
 }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/FleetOrders.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/FleetOrders.java
@@ -76,7 +76,8 @@
   private boolean isDue(DomainTarget target) {
     Optional<Long> earliest = Optional.ofNullable(notBeforeMs.get(target));
     return earliest.isEmpty()
-        || (nowMs() >= earliest.orElseThrow() && present.applyAsInt(target) != target.servers());
+        || (Moment.nowMs() >= earliest.orElseThrow()
+            && present.applyAsInt(target) != target.servers());
   }
 
   private void order(DomainTarget target, FleetApi.Authority authority) {
@@ -105,13 +106,9 @@
         Long.toString(authority.token()),
         result.fold(had -> Boolean.toString(had), failure -> failure.type()));
     boolean accepted = result.value().orElse(false);
-    notBeforeMs.put(target, nowMs() + (accepted ? target.bootMs() + ANNOUNCE_MS : RETRY_MS));
+    notBeforeMs.put(target, Moment.nowMs() + (accepted ? target.bootMs() + ANNOUNCE_MS : RETRY_MS));
     if (accepted) {
       work(authority);
     }
   }
-
-  private static long nowMs() {
-    return Moment.now().monotonicMs();
-  }
 }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
@@ -148,7 +148,7 @@
    * @param began when it began
    */
   public void count(String team, Moment began) {
-    control.post(() -> usage.count(team, Moment.now().monotonicMs() - began.monotonicMs()));
+    control.post(() -> usage.count(team, Moment.nowMs() - began.monotonicMs()));
   }
 
   /** Leaves the group, gives up the duties and writes the last counts; safe for all threads. */
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Attempt.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Attempt.java
@@ -68,7 +68,7 @@
   }
 
   long tookMs() {
-    return Moment.now().monotonicMs() - sent.monotonicMs();
+    return Moment.nowMs() - sent.monotonicMs();
   }
 
   void writtenTo(HttpConnection open) {
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/CallLog.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/CallLog.java
@@ -26,6 +26,6 @@
   }
 
   long sinceArrivalMs() {
-    return Moment.now().monotonicMs() - call.arrived().monotonicMs();
+    return Moment.nowMs() - call.arrived().monotonicMs();
   }
 }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Exchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Exchange.java
@@ -76,7 +76,7 @@
 
   void start() {
     traffic.budget(call.service()).request();
-    long waitMs = call.untilMs() - nowMs() + GRACE_MS;
+    long waitMs = call.untilMs() - Moment.nowMs() + GRACE_MS;
     traffic.after(Math.max(0, waitMs), this::timeOut);
     next();
   }
@@ -173,7 +173,7 @@
                 current.promptTokens(),
                 current.cacheSource().map(load -> load.server().incarnation()).orElse("-"),
                 sends,
-                call.untilMs() - nowMs()));
+                call.untilMs() - Moment.nowMs()));
     connection.send(
         request(current),
         new AnswerSink(
@@ -189,7 +189,7 @@
       return false;
     }
     current.end();
-    current.load().unreachable(nowMs());
+    current.load().unreachable(Moment.nowMs());
     tried.add(current.load().server().incarnation());
     connectFailures++;
     log.add(
@@ -209,7 +209,7 @@
         current,
         kv.source(),
         output.lastEventId().or(() -> call.meta().resumeAfter()),
-        call.untilMs() - nowMs(),
+        call.untilMs() - Moment.nowMs(),
         traffic.dialect());
   }
 
@@ -334,7 +334,7 @@
     current.end();
     traffic.crashes().answered(call);
     if (from.isServerError()) {
-      current.load().failed(nowMs());
+      current.load().failed(Moment.nowMs());
     } else {
       current.load().answered(current.tookMs());
       cached(current);
@@ -384,7 +384,7 @@
   private void rejected(Attempt current, ServerAnswer from) {
     current.end();
     if (from.isMisdirected()) {
-      current.load().unreachable(nowMs());
+      current.load().unreachable(Moment.nowMs());
     }
     String server = current.load().server().incarnation();
     log.add("rejected", "backend=%s status=%d".formatted(server, from.status()));
@@ -410,7 +410,7 @@
       return;
     }
     current.abandon();
-    current.load().failed(nowMs());
+    current.load().failed(Moment.nowMs());
     tried.add(current.load().server().incarnation());
     log.add(
         "answer_lost",
@@ -492,8 +492,4 @@
       kv.free();
     }
   }
-
-  private static long nowMs() {
-    return Moment.now().monotonicMs();
-  }
 }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/PeerLoads.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/PeerLoads.java
@@ -45,7 +45,7 @@
   }
 
   void take(BackendLoads loads) {
-    received.put(loads.getVm(), new Received(loads, nowMs()));
+    received.put(loads.getVm(), new Received(loads, Moment.nowMs()));
     apply();
     for (CachedPrompt prompt : loads.getCached()) {
       traffic
@@ -83,7 +83,7 @@
   }
 
   private void apply() {
-    long oldest = nowMs() - MAX_AGE_MS;
+    long oldest = Moment.nowMs() - MAX_AGE_MS;
     received.values().removeIf(last -> last.atMs() < oldest);
     Map<Integer, int[]> requests = new HashMap<>();
     Map<Integer, long[]> tokens = new HashMap<>();
@@ -99,8 +99,4 @@
           requests.getOrDefault(key, new int[1])[0], tokens.getOrDefault(key, new long[1])[0]);
     }
   }
-
-  private static long nowMs() {
-    return Moment.now().monotonicMs();
-  }
 }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServerTable.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServerTable.java
@@ -1,11 +1,11 @@
 package io.samphiregauge.gateway.traffic;
 
+import io.samphiregauge.core.TextHash;
 import io.samphiregauge.core.backend.BackendServer;
 import io.samphiregauge.core.dispatch.ServerLoad;
 import io.samphiregauge.core.site.EngineSpec;
 import io.samphiregauge.core.site.SiteConfig;
 import io.samphiregauge.gateway.GatewayView;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -13,7 +13,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.zip.CRC32C;
 
 /** The load of each usable backend server, by service. Used by one event loop. */
 final class ServerTable {
@@ -68,9 +67,7 @@
 
   /** Returns the key of a server in one of its starts, for messages between entries. */
   static int key(BackendServer server) {
-    CRC32C crc = new CRC32C();
-    crc.update(server.incarnation().getBytes(StandardCharsets.UTF_8));
-    return (int) crc.getValue();
+    return TextHash.crc32c(server.incarnation());
   }
 
   /** Returns the servers of all services. */
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/TrafficSide.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/TrafficSide.java
@@ -34,7 +34,7 @@
 /** Serves callers. */
 public final class TrafficSide {
   private static final Logger LOG = System.getLogger(TrafficSide.class.getName());
-  private static final Clock CLOCK = () -> Moment.now().monotonicMs();
+  private static final Clock CLOCK = () -> Moment.nowMs();
   private static final RandomSource RANDOM = () -> ThreadLocalRandom.current().nextLong();
 
   private final GatewayMetrics metrics;
