Encode load messages once, sum them up less often, and keep them for two periods

Each entry encoded its loads once for each of 83 members and summed all received loads on each of 66 messages a second. With more than 100 members, loads were forgotten before the next message.

--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/PeerLoads.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/PeerLoads.java
@@ -24,13 +24,20 @@
   /** With many members messages are sent less often, to bound the work for them. */
   private static final long PERIOD_MS_PER_MEMBER = 15;
 
-  /** Loads of an entry that falls silent are forgotten. */
-  private static final long MAX_AGE_MS = 1_500;
+  /** Least time after which the loads of an entry that falls silent are forgotten. */
+  private static final long MIN_KEPT_MS = 1_500;
+
+  /** One message may be lost before the loads of its sender are forgotten. */
+  private static final int KEPT_PERIODS = 2;
+
+  /** Sums of the received loads in the time of one message to each member. */
+  private static final long APPLIED_PER_PERIOD = 6;
 
   private final Traffic traffic;
   private final Member self;
   private final PeerTransport transport;
   private final Map<String, Received> received = new HashMap<>();
+  private boolean applying;
 
   private record Received(BackendLoads loads, long atMs) {}
 
@@ -46,7 +53,7 @@
 
   void take(BackendLoads loads) {
     received.put(loads.getVm(), new Received(loads, Moment.nowMs()));
-    apply();
+    applySoon();
     for (CachedPrompt prompt : loads.getCached()) {
       traffic
           .servers()
@@ -59,11 +66,12 @@
     List<Member> members = traffic.view().members();
     traffic.after(periodMs(members.size()), this::send);
     BackendLoads own = new BackendLoads(self.vm(), own(), traffic.cacheNews().take());
-    for (Member member : members) {
-      if (!member.vm().equals(self.vm())) {
-        transport.send(member.peerAddress(), own);
-      }
-    }
+    transport.send(
+        members.stream()
+            .filter(member -> !member.vm().equals(self.vm()))
+            .map(Member::peerAddress)
+            .toList(),
+        own);
   }
 
   /** Returns the time between two messages of an entry, in milliseconds. */
@@ -71,6 +79,11 @@
     return Math.max(MIN_PERIOD_MS, members * PERIOD_MS_PER_MEMBER);
   }
 
+  /** Returns the time for which the loads in a message count, in milliseconds. */
+  static long keptMs(int members) {
+    return Math.max(MIN_KEPT_MS, KEPT_PERIODS * periodMs(members));
+  }
+
   private List<BackendLoad> own() {
     List<BackendLoad> loads = new ArrayList<>();
     for (ServerLoad load : traffic.servers().all()) {
@@ -82,8 +95,21 @@
     return loads;
   }
 
+  /** Sums up several messages at once; with many members one arrives each few milliseconds. */
+  private void applySoon() {
+    if (!applying) {
+      applying = true;
+      traffic.after(
+          periodMs(traffic.view().members().size()) / APPLIED_PER_PERIOD,
+          () -> {
+            applying = false;
+            apply();
+          });
+    }
+  }
+
   private void apply() {
-    long oldest = Moment.nowMs() - MAX_AGE_MS;
+    long oldest = Moment.nowMs() - keptMs(traffic.view().members().size());
     received.values().removeIf(last -> last.atMs() < oldest);
     Map<Integer, int[]> requests = new HashMap<>();
     Map<Integer, long[]> tokens = new HashMap<>();
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/PeerTransport.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/PeerTransport.java
@@ -24,6 +24,7 @@
 import io.samphiregauge.schema.peer.PeerHello;
 import io.samphiregauge.schema.record.Incarnation;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import java.util.function.Consumer;
@@ -126,9 +127,22 @@
    * @param message the message
    */
   public void send(String peerAddress, PeerMessage message) {
-    Result<Address> target = Address.parse(peerAddress);
-    target.failure().ifPresent(failures);
-    target.value().ifPresent(to -> send(to, Codec.messagePack().encode(message)));
+    send(List.of(peerAddress), message);
+  }
+
+  /**
+   * Sends a message to several entries, and encodes it once; safe for all threads.
+   *
+   * @param peerAddresses addresses of the receivers
+   * @param message the message
+   */
+  public void send(List<String> peerAddresses, PeerMessage message) {
+    byte[] frame = Codec.messagePack().encode(message);
+    for (String peerAddress : peerAddresses) {
+      Result<Address> target = Address.parse(peerAddress);
+      target.failure().ifPresent(failures);
+      target.value().ifPresent(to -> send(to, frame));
+    }
   }
 
   private void send(Address to, byte[] frame) {
