--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/Sampling.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/Sampling.java
@@ -2,9 +2,7 @@
 
 import io.samphiregauge.core.RandomSource;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 
 /** Chooses the servers that are compared for one request. */
 @FunctionalInterface
@@ -12,7 +10,7 @@
   /** Servers of the entry's failure domain that are compared, of each stage. */
   int NEAR = 3;
 
-  /** Servers of other failure domains that are compared, of each stage. */
+  /** Servers of other failure domains that are compared, of each stage, beside near ones. */
   int FAR = 1;
 
   /**
@@ -44,23 +42,29 @@
   static Sampling few(String domain, RandomSource random) {
     return (servers, nowMs) -> {
       List<ServerLoad> healthy = servers.stream().filter(load -> !load.avoided(nowMs)).toList();
-      Map<String, List<ServerLoad>> groups = new LinkedHashMap<>();
-      for (ServerLoad load : healthy.isEmpty() ? servers : healthy) {
-        groups.computeIfAbsent(group(load, domain), name -> new ArrayList<>()).add(load);
-      }
       List<ServerLoad> chosen = new ArrayList<>();
-      for (List<ServerLoad> group : groups.values()) {
-        int most = group.get(0).server().domain().equals(domain) ? NEAR : FAR;
-        for (int i = 0; i < most && !group.isEmpty(); i++) {
-          chosen.add(group.remove(random.nextIndex(group.size())));
+      for (boolean prefillOnly : new boolean[] {false, true}) {
+        List<ServerLoad> near = new ArrayList<>();
+        List<ServerLoad> far = new ArrayList<>();
+        for (ServerLoad load : healthy.isEmpty() ? servers : healthy) {
+          if (load.server().prefillOnly() == prefillOnly) {
+            (load.server().domain().equals(domain) ? near : far).add(load);
+          }
         }
+        int mostFar = near.isEmpty() ? NEAR : FAR;
+        chosen.addAll(draw(near, NEAR, random));
+        chosen.addAll(draw(far, mostFar, random));
       }
       return chosen;
     };
   }
 
-  private static String group(ServerLoad load, String domain) {
-    boolean near = load.server().domain().equals(domain);
-    return (near ? "near" : "far") + (load.server().prefillOnly() ? "/prefill" : "");
+  private static List<ServerLoad> draw(List<ServerLoad> from, int most, RandomSource random) {
+    List<ServerLoad> left = new ArrayList<>(from);
+    List<ServerLoad> drawn = new ArrayList<>();
+    while (drawn.size() < most && !left.isEmpty()) {
+      drawn.add(left.remove(random.nextIndex(left.size())));
+    }
+    return drawn;
   }
 }
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/dispatch/ServerChooserTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/dispatch/ServerChooserTest.java
@@ -189,6 +189,17 @@
     assertThat(chosen.getOrDefault(servers.get(0), 0)).isGreaterThan(1_000 / servers.size());
   }
 
+  /** Guards against a blind choice where the entry's failure domain has no server. */
+  @Test
+  void comparesSeveralFarServersWhereNoneIsNear() {
+    List<ServerLoad> servers = new ArrayList<>();
+    for (int i = 0; i < 10; i++) {
+      servers.add(server("s" + i, "b", Optional.empty()));
+    }
+    SplittableRandom seeded = new SplittableRandom(5);
+    assertThat(Sampling.few("a", seeded::nextLong).candidates(servers, NOW_MS)).hasSize(3);
+  }
+
   /** Guards against a request for a failing server, only because few servers are compared. */
   @Test
   void comparesHealthyServersOnly() {
