--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/Gateway.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/Gateway.java
@@ -9,6 +9,7 @@
 import io.samphiregauge.gateway.port.SharedStore;
 import io.samphiregauge.gateway.port.SiteReader;
 import io.samphiregauge.gateway.traffic.GatewayMetrics;
+import io.samphiregauge.gateway.traffic.TrafficEvents;
 import io.samphiregauge.gateway.traffic.TrafficSide;
 import io.samphiregauge.net.Address;
 import io.samphiregauge.net.LogLines;
@@ -106,9 +107,7 @@
             loops,
             outside.dialect(),
             view::get,
-            control::count,
-            control::crashed,
-            control::received,
+            new TrafficEvents(control::count, control::crashed, control::received),
             new GatewayMetrics(),
             log)
         .map(
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Traffic.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/Traffic.java
@@ -13,13 +13,10 @@
 import io.samphiregauge.net.Address;
 import io.samphiregauge.net.HttpCalls;
 import io.samphiregauge.net.HttpPool;
-import io.samphiregauge.schema.gateway.CrashRecord;
 import io.samphiregauge.schema.gateway.EntrySettings;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 /** What all requests of one event loop share. Used by that event loop only. */
@@ -35,7 +32,7 @@
   private final Dialect dialect;
   private final CallRouting routing;
   private final Supplier<GatewayView> views;
-  private final BiConsumer<String, Moment> usage;
+  private final TrafficEvents events;
   private final GatewayMetrics metrics;
   private final DecisionLines decisions;
   private final HttpPool pool;
@@ -53,8 +50,7 @@
       CallRouting routing,
       RandomSource random,
       Supplier<GatewayView> views,
-      BiConsumer<String, Moment> usage,
-      Consumer<CrashRecord> crashPublisher,
+      TrafficEvents events,
       GatewayMetrics metrics,
       DecisionLines decisions) {
     this.loop = loop;
@@ -62,12 +58,12 @@
     this.dialect = dialect;
     this.routing = routing;
     this.views = views;
-    this.usage = usage;
+    this.events = events;
     this.metrics = metrics;
     this.decisions = decisions;
     this.pool = new HttpPool(loop, CONNECT_TIMEOUT_MS);
     this.calls = new HttpCalls(loop);
-    this.crashes = new CrashWatch(this, crashPublisher);
+    this.crashes = new CrashWatch(this, events.crashes());
     Sampling few = Sampling.few(settings.getFailureDomain(), random);
     this.chooser =
         new ServerChooser(
@@ -138,7 +134,7 @@
   }
 
   void countUsage(String team, Moment began) {
-    usage.accept(team, began);
+    events.usage().accept(team, began);
   }
 
   void after(long delayMs, Runnable task) {
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/TrafficSide.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/TrafficSide.java
@@ -28,7 +28,6 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 /** Serves callers. */
@@ -64,9 +63,7 @@
    * @param loops event loops; one of them carries all traffic
    * @param dialect how callers and servers write
    * @param views gives the newest view
-   * @param usage takes the team of each request that begins to run, and when it began
-   * @param crashes takes the requests whose servers ended, to tell other entries
-   * @param messages takes the messages of other entries that are not about traffic
+   * @param events takes what the control side has to know
    * @param metrics takes counts and latencies
    * @param log takes a line for each decision
    * @return the serving side, or why the address could not be bound
@@ -77,9 +74,7 @@
       EventLoopGroup loops,
       Dialect dialect,
       Supplier<GatewayView> views,
-      BiConsumer<String, Moment> usage,
-      Consumer<CrashRecord> crashes,
-      BiConsumer<String, PeerMessage> messages,
+      TrafficEvents events,
       GatewayMetrics metrics,
       LogLines log) {
     EventLoop loop = loops.next();
@@ -92,12 +87,11 @@
             routing,
             RANDOM,
             views,
-            usage,
-            crashes,
+            events,
             metrics,
             new DecisionLines(loop, log));
     AtomicBoolean stopping = new AtomicBoolean();
-    return startPeers(loops, self, traffic, messages)
+    return startPeers(loops, self, traffic, events.messages())
         .flatMap(
             peers ->
                 listen(self, loop, traffic, stopping)
