Plan each engine's prompt once, and keep one threshold, key and engine lookup

The choice of an engine worked out what it caches and where it would fetch from once for the cost and again for the plan; the plan now carries both, and whether it only prefills follows from its server. The least length that is fetched stood in two classes, the key of a server was hashed again for each message, and two classes looked up the engines of a service. No behaviour changes.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/CacheDirectory.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/CacheDirectory.java
@@ -12,9 +12,6 @@
  * reading them again takes hundreds.
  */
 final class CacheDirectory {
-  /** Shorter beginnings are read again sooner than they are fetched. */
-  private static final int MIN_FETCH_TOKENS = 512;
-
   private final Map<String, Holder> byDomain = new HashMap<>();
 
   /** An engine, and the tokens at the start of the prompt that it caches. */
@@ -24,12 +21,12 @@
 
   static CacheDirectory of(Prompt prompt, List<ServerLoad> servers, long nowMs) {
     CacheDirectory directory = new CacheDirectory();
-    if (prompt.sharedTokens() < MIN_FETCH_TOKENS) {
+    if (!prompt.isWorthFetching()) {
       return directory;
     }
     for (ServerLoad load : servers) {
       int tokens = Math.min(load.prefixes().cachedTokens(prompt), prompt.sharedTokens());
-      if (tokens >= MIN_FETCH_TOKENS && !load.avoided(nowMs)) {
+      if (tokens >= Prompt.MIN_FETCH_TOKENS && !load.avoided(nowMs)) {
         directory.byDomain.merge(
             load.server().domain(),
             new Holder(load, tokens),
@@ -59,6 +56,6 @@
       }
     }
     return best.filter(holder -> !holder.load().equals(reader))
-        .filter(holder -> holder.tokens() - cachedTokens >= MIN_FETCH_TOKENS);
+        .filter(holder -> holder.tokens() - cachedTokens >= Prompt.MIN_FETCH_TOKENS);
   }
 }
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/Prompt.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/Prompt.java
@@ -10,6 +10,9 @@
  * @param parts parts in their order; the last one belongs to the request or its session
  */
 public record Prompt(int tokens, int maxOutputTokens, List<PromptPart> parts) {
+  /** Shorter beginnings are read again sooner than an engine fetches them from another one. */
+  static final int MIN_FETCH_TOKENS = 512;
+
   /** Copies the parts. */
   public Prompt {
     parts = List.copyOf(parts);
@@ -29,6 +32,11 @@
     return sharedParts().stream().mapToInt(PromptPart::tokens).sum();
   }
 
+  /** Returns whether the shared parts are long enough to be fetched from another engine. */
+  public boolean isWorthFetching() {
+    return sharedTokens() >= MIN_FETCH_TOKENS;
+  }
+
   /**
    * Returns the longest part that requests have in common; it decides where the prompt is cached.
    *
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerChooser.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerChooser.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Function;
 import java.util.function.ToDoubleFunction;
 
 /**
@@ -58,15 +59,17 @@
    * What is to be done with the prompt of a request.
    *
    * @param server engine that prefills it
-   * @param prefillFirst whether that engine only prefills
    * @param uncachedTokens tokens that it has to read
-   * @param cacheSource engine from which it fetches parts that it does not cache
+   * @param fetchedTokens tokens that it fetches from another engine's cache
+   * @param cacheSource engine from which it fetches them, if any
    */
   public record PromptPlan(
-      ServerLoad server,
-      boolean prefillFirst,
-      int uncachedTokens,
-      Optional<ServerLoad> cacheSource) {}
+      ServerLoad server, int uncachedTokens, int fetchedTokens, Optional<ServerLoad> cacheSource) {
+    /** Returns whether the engine only prefills, so that another one generates. */
+    public boolean prefillFirst() {
+      return server.server().prefillOnly();
+    }
+  }
 
   /**
    * Chooses a server that runs whole requests.
@@ -99,8 +102,8 @@
     Optional<ServerLoad> home = cached.isEmpty() ? home(prompt, servers) : Optional.empty();
     List<ServerLoad> candidates = new ArrayList<>(sampling.candidates(servers, nowMs));
     home.filter(load -> !candidates.contains(load)).ifPresent(candidates::add);
-    return least(candidates, nowMs, load -> prefillCost(prompt, load, cached, home))
-        .map(load -> plan(prompt, load, cached));
+    List<PromptPlan> plans = candidates.stream().map(load -> plan(prompt, load, cached)).toList();
+    return least(plans, PromptPlan::server, nowMs, plan -> prefillCost(prompt, plan, home));
   }
 
   /** Entries agree on the first reader of parts that nobody is known to cache. */
@@ -113,35 +116,29 @@
   private static PromptPlan plan(Prompt prompt, ServerLoad load, CacheDirectory cached) {
     int kept = load.prefixes().cachedTokens(prompt);
     Optional<CacheDirectory.Holder> source = cached.sourceFor(load, kept);
+    int held = source.map(CacheDirectory.Holder::tokens).orElse(kept);
     return new PromptPlan(
-        load,
-        load.server().prefillOnly(),
-        prompt.tokens() - source.map(CacheDirectory.Holder::tokens).orElse(kept),
-        source.map(CacheDirectory.Holder::load));
+        load, prompt.tokens() - held, held - kept, source.map(CacheDirectory.Holder::load));
   }
 
-  private double prefillCost(
-      Prompt prompt, ServerLoad load, CacheDirectory cached, Optional<ServerLoad> home) {
-    int kept = load.prefixes().cachedTokens(prompt);
-    Optional<CacheDirectory.Holder> source = cached.sourceFor(load, kept);
-    int uncached = prompt.tokens() - source.map(CacheDirectory.Holder::tokens).orElse(kept);
-    double fetchMs = source.map(from -> fetchMs(from, load, kept)).orElse(0.0);
+  private double prefillCost(Prompt prompt, PromptPlan plan, Optional<ServerLoad> home) {
+    ServerLoad load = plan.server();
     double strangerMs =
         home.filter(at -> !at.equals(load)).isPresent()
             ? prompt.sharedTokens() * REREAD_MS_PER_TOKEN
             : 0;
-    double handOverMs = load.server().prefillOnly() ? HAND_OVER_MS : 0;
+    double handOverMs = plan.prefillFirst() ? HAND_OVER_MS : 0;
     return queueMs(load)
-        + uncached / rate(load.server())
-        + fetchMs
+        + plan.uncachedTokens() / rate(load.server())
+        + plan.cacheSource().map(from -> fetchMs(from, plan)).orElse(0.0)
         + strangerMs
         + handOverMs
         + generalCost(load, domain);
   }
 
-  private static double fetchMs(CacheDirectory.Holder from, ServerLoad to, int kept) {
-    double distance = from.load().server().domain().equals(to.server().domain()) ? 1 : 2;
-    return FETCH_START_MS + (from.tokens() - kept) * FETCH_MS_PER_TOKEN * distance;
+  private static double fetchMs(ServerLoad from, PromptPlan plan) {
+    double distance = from.server().domain().equals(plan.server().server().domain()) ? 1 : 2;
+    return FETCH_START_MS + plan.fetchedTokens() * FETCH_MS_PER_TOKEN * distance;
   }
 
   /**
@@ -177,14 +174,19 @@
 
   private static Optional<ServerLoad> least(
       List<ServerLoad> servers, long nowMs, ToDoubleFunction<ServerLoad> cost) {
-    Optional<ServerLoad> best = Optional.empty();
+    return least(servers, load -> load, nowMs, cost);
+  }
+
+  private static <T> Optional<T> least(
+      List<T> choices, Function<T, ServerLoad> server, long nowMs, ToDoubleFunction<T> cost) {
+    Optional<T> best = Optional.empty();
     double lowest = Double.MAX_VALUE;
     boolean bestAvoided = true;
-    for (ServerLoad load : servers) {
-      boolean avoided = load.avoided(nowMs);
-      double ms = cost.applyAsDouble(load);
+    for (T choice : choices) {
+      boolean avoided = server.apply(choice).avoided(nowMs);
+      double ms = cost.applyAsDouble(choice);
       if (best.isEmpty() || (bestAvoided && !avoided) || (bestAvoided == avoided && ms < lowest)) {
-        best = Optional.of(load);
+        best = Optional.of(choice);
         lowest = ms;
         bestAvoided = avoided;
       }
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerLoad.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerLoad.java
@@ -1,5 +1,6 @@
 package io.samphiregauge.core.dispatch;
 
+import io.samphiregauge.core.TextHash;
 import io.samphiregauge.core.backend.BackendServer;
 
 /**
@@ -16,6 +17,7 @@
   private static final double FAILURE_WEIGHT = 0.1;
 
   private BackendServer server;
+  private final int key;
   private final PrefixMemory prefixes;
   private int inFlight;
   private long promptTokens;
@@ -36,6 +38,7 @@
    */
   public ServerLoad(BackendServer server, long engineTokens, double expectedMs) {
     this.server = server;
+    this.key = TextHash.crc32c(server.incarnation());
     this.prefixes = new PrefixMemory(engineTokens);
     this.latencyMs = expectedMs;
   }
@@ -45,6 +48,11 @@
     return server;
   }
 
+  /** Returns what messages between entries call the server in this start. */
+  public int key() {
+    return key;
+  }
+
   /**
    * Takes over what the same start of the server announces now, such as another stage.
    *
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/site/SiteConfig.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/site/SiteConfig.java
@@ -68,6 +68,16 @@
     return services;
   }
 
+  /**
+   * Returns what the model engines of a service have in common.
+   *
+   * @param service name of the service
+   * @return the engines' figures, if the service is known and has engines
+   */
+  public Optional<EngineSpec> engine(String service) {
+    return Optional.ofNullable(services.get(service)).flatMap(ServiceSpec::engine);
+  }
+
   /** Returns whether requests need a key on routes that are not open. */
   public boolean needsKeys() {
     return teamsByKey.isPresent();
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/CacheNews.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/CacheNews.java
@@ -9,20 +9,17 @@
 
 /** The long shared prompts that servers have read since other entries were last told. */
 final class CacheNews {
-  /** Shorter beginnings are read again sooner than another entry hears of them. */
-  private static final int MIN_TOKENS = 512;
-
   /** Most prompts in a message; what is left out costs at most one more reading. */
   private static final int MAX_PROMPTS = 64;
 
   private final List<CachedPrompt> untold = new ArrayList<>();
 
   void add(ServerLoad load, Prompt prompt) {
-    if (prompt.sharedTokens() >= MIN_TOKENS && untold.size() < MAX_PROMPTS) {
+    if (prompt.isWorthFetching() && untold.size() < MAX_PROMPTS) {
       List<PromptPart> parts = prompt.sharedParts();
       untold.add(
           new CachedPrompt(
-              ServerTable.key(load.server()),
+              load.key(),
               parts.stream().map(PromptPart::id).toList(),
               parts.stream().map(PromptPart::tokens).toList()));
     }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/CallRouting.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/CallRouting.java
@@ -4,7 +4,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.samphiregauge.core.RandomSource;
 import io.samphiregauge.core.result.Result;
-import io.samphiregauge.core.site.ServiceSpec;
 import io.samphiregauge.core.site.SiteConfig;
 import io.samphiregauge.core.site.SiteRoute;
 import io.samphiregauge.core.site.Team;
@@ -62,10 +61,7 @@
     }
     long allowedMs = Math.min(taken.timeoutMs(), meta.deadlineMs().orElse(Long.MAX_VALUE));
     String service = taken.service(random.nextLong() >>> 1);
-    boolean engine =
-        Optional.ofNullable(config.services().get(service))
-            .flatMap(ServiceSpec::engine)
-            .isPresent();
+    boolean engine = config.engine(service).isPresent();
     return Result.success(
         new RelayedCall(
             request,
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/PeerLoads.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/PeerLoads.java
@@ -88,8 +88,7 @@
     List<BackendLoad> loads = new ArrayList<>();
     for (ServerLoad load : traffic.servers().all()) {
       if (load.inFlight() > 0) {
-        loads.add(
-            new BackendLoad(ServerTable.key(load.server()), load.promptTokens(), load.inFlight()));
+        loads.add(new BackendLoad(load.key(), load.promptTokens(), load.inFlight()));
       }
     }
     return loads;
@@ -111,18 +110,16 @@
   private void apply() {
     long oldest = Moment.nowMs() - keptMs(traffic.view().members().size());
     received.values().removeIf(last -> last.atMs() < oldest);
-    Map<Integer, int[]> requests = new HashMap<>();
-    Map<Integer, long[]> tokens = new HashMap<>();
+    Map<Integer, Integer> requests = new HashMap<>();
+    Map<Integer, Long> tokens = new HashMap<>();
     for (Received last : received.values()) {
       for (BackendLoad load : last.loads().getLoads()) {
-        requests.computeIfAbsent(load.getBackend(), key -> new int[1])[0] += load.getRunning();
-        tokens.computeIfAbsent(load.getBackend(), key -> new long[1])[0] += load.getPromptTokens();
+        requests.merge(load.getBackend(), load.getRunning(), Integer::sum);
+        tokens.merge(load.getBackend(), load.getPromptTokens(), Long::sum);
       }
     }
     for (ServerLoad load : traffic.servers().all()) {
-      int key = ServerTable.key(load.server());
-      load.others(
-          requests.getOrDefault(key, new int[1])[0], tokens.getOrDefault(key, new long[1])[0]);
+      load.others(requests.getOrDefault(load.key(), 0), tokens.getOrDefault(load.key(), 0L));
     }
   }
 }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServerTable.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServerTable.java
@@ -1,6 +1,5 @@
 package io.samphiregauge.gateway.traffic;
 
-import io.samphiregauge.core.TextHash;
 import io.samphiregauge.core.backend.BackendServer;
 import io.samphiregauge.core.dispatch.ServerLoad;
 import io.samphiregauge.core.site.EngineSpec;
@@ -40,18 +39,14 @@
               .map(known -> known.announced(server))
               .orElseGet(() -> newLoad(server, view.config().orElseThrow()));
       byIncarnation.put(server.incarnation(), load);
-      byKey.put(key(server), load);
+      byKey.put(load.key(), load);
       services.computeIfAbsent(server.service(), name -> new ArrayList<>()).add(load);
     }
     byService = services;
   }
 
   private static ServerLoad newLoad(BackendServer server, SiteConfig config) {
-    long tokens =
-        Optional.ofNullable(config.services().get(server.service()))
-            .flatMap(service -> service.engine())
-            .map(EngineSpec::kvTokens)
-            .orElse(0L);
+    long tokens = config.engine(server.service()).map(EngineSpec::kvTokens).orElse(0L);
     return new ServerLoad(server, tokens, EXPECTED_MS);
   }
 
@@ -65,11 +60,6 @@
     return Optional.ofNullable(byKey.get(key));
   }
 
-  /** Returns the key of a server in one of its starts, for messages between entries. */
-  static int key(BackendServer server) {
-    return TextHash.crc32c(server.incarnation());
-  }
-
   /** Returns the servers of all services. */
   Collection<ServerLoad> all() {
     return byIncarnation.values();
