Decode the entries' records in the store in one place

CrashFollower and DutyWorker decoded and logged in three copies. TopicFollower's flag for being stopped followed from the number of its newest start or stop.

--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/CrashFollower.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/CrashFollower.java
@@ -6,10 +6,9 @@
 import io.samphiregauge.gateway.port.StorePage;
 import io.samphiregauge.gateway.port.StoreRecord;
 import io.samphiregauge.gateway.port.Topic;
-import io.samphiregauge.net.Codec;
 import io.samphiregauge.schema.gateway.CrashRecord;
 import java.lang.System.Logger;
-import java.lang.System.Logger.Level;
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 
@@ -78,25 +77,11 @@
       return;
     }
     StorePage.Records records = (StorePage.Records) page;
-    records.records().forEach(this::take);
+    records.records().stream().flatMap(entry -> decode(entry).stream()).forEach(taker);
     nextOffset = records.nextOffset();
   }
 
-  private void take(StoreRecord entry) {
-    entry
-        .value()
-        .ifPresent(
-            bytes ->
-                Codec.json()
-                    .decode(bytes, CrashRecord.class)
-                    .fold(
-                        crash -> {
-                          taker.accept(crash);
-                          return true;
-                        },
-                        failure -> {
-                          LOG.log(Level.ERROR, "event=crash_unreadable " + failure.message());
-                          return false;
-                        }));
+  private static Optional<CrashRecord> decode(StoreRecord entry) {
+    return StoredMessages.decode(entry, CrashRecord.class, LOG, "crash_unreadable");
   }
 }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
@@ -161,17 +161,9 @@
   private static Optional<DutyRecord> current(StorePage.Records page) {
     return page.records().stream()
         .filter(entry -> entry.key().equals(REGISTER_KEY))
-        .flatMap(entry -> entry.value().stream())
         .flatMap(
-            bytes -> {
-              Result<DutyRecord> decoded = Codec.json().decode(bytes, DutyRecord.class);
-              decoded
-                  .failure()
-                  .ifPresent(
-                      failure ->
-                          LOG.log(Level.ERROR, "event=duty_unreadable " + failure.message()));
-              return decoded.value().stream();
-            })
+            entry ->
+                StoredMessages.decode(entry, DutyRecord.class, LOG, "duty_unreadable").stream())
         .findFirst();
   }
 
@@ -295,21 +287,8 @@
     boolean more = !records.records().isEmpty();
     usageOffset = records.nextOffset();
     for (StoreRecord entry : records.records()) {
-      entry
-          .value()
-          .ifPresent(
-              bytes ->
-                  Codec.json()
-                      .decode(bytes, UsageRecord.class)
-                      .fold(
-                          usage -> {
-                            tally.merge(usage);
-                            return true;
-                          },
-                          failure -> {
-                            LOG.log(Level.ERROR, "event=usage_unreadable " + failure.message());
-                            return false;
-                          }));
+      StoredMessages.decode(entry, UsageRecord.class, LOG, "usage_unreadable")
+          .ifPresent(tally::merge);
     }
     if (more) {
       collect(next);
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/TopicFollower.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/TopicFollower.java
@@ -33,11 +33,9 @@
   private long nextOffset;
   private boolean failing;
 
-  /** Number of the newest start; what belongs to an earlier one is ignored. */
+  /** Number of the newest start or stop; what belongs to an earlier one is ignored. */
   private long run;
 
-  private boolean stopped = true;
-
   /**
    * How often a topic is read.
    *
@@ -73,7 +71,6 @@
 
   void start() {
     run++;
-    stopped = false;
     readNewest();
   }
 
@@ -88,7 +85,7 @@
   private <T> Consumer<T> inThisRun(Consumer<T> taker) {
     long current = run;
     return value -> {
-      if (!stopped && run == current) {
+      if (run == current) {
         taker.accept(value);
       }
     };
@@ -100,7 +97,7 @@
   }
 
   void stop() {
-    stopped = true;
+    run++;
   }
 
   private void startFrom(Result<StorePage.Records> result, Moment asked) {
