--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/DualTimestamp.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/DualTimestamp.java
@@ -1,4 +1,4 @@
-package io.samphiregauge.gateway;
+package io.samphiregauge.core;
 
 /**
  * A point in time on the monotonic clock and on the wall clock. The monotonic clock stops while a
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/GatewayView.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/GatewayView.java
@@ -1,5 +1,6 @@
 package io.samphiregauge.gateway;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.backend.BackendServer;
 import io.samphiregauge.core.site.SiteConfig;
 import java.util.List;
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/PageServer.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/PageServer.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.samphiregauge.core.Clock;
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.result.Result;
 import io.samphiregauge.net.Address;
 import io.samphiregauge.net.HttpLimits;
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/BackendFollower.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/BackendFollower.java
@@ -1,10 +1,10 @@
 package io.samphiregauge.gateway.control;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.backend.AnnouncementLog;
 import io.samphiregauge.core.backend.BackendRegistry;
 import io.samphiregauge.core.backend.BackendServer;
 import io.samphiregauge.core.result.Result;
-import io.samphiregauge.gateway.DualTimestamp;
 import io.samphiregauge.gateway.GroupMember;
 import io.samphiregauge.gateway.port.SharedStore;
 import io.samphiregauge.gateway.port.StoreRecord;
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/ConfigFollower.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/ConfigFollower.java
@@ -1,9 +1,9 @@
 package io.samphiregauge.gateway.control;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.result.Failure;
 import io.samphiregauge.core.result.Result;
 import io.samphiregauge.core.site.SiteConfig;
-import io.samphiregauge.gateway.DualTimestamp;
 import io.samphiregauge.gateway.port.SharedStore;
 import io.samphiregauge.gateway.port.StoreRecord;
 import io.samphiregauge.gateway.port.StoreValueDecoder;
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/CrashFollower.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/CrashFollower.java
@@ -1,7 +1,7 @@
 package io.samphiregauge.gateway.control;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.result.Result;
-import io.samphiregauge.gateway.DualTimestamp;
 import io.samphiregauge.gateway.port.ReadResult;
 import io.samphiregauge.gateway.port.SharedStore;
 import io.samphiregauge.gateway.port.StoreRecord;
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
@@ -1,10 +1,10 @@
 package io.samphiregauge.gateway.control;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.duty.DutyLease;
 import io.samphiregauge.core.duty.SealTiming;
 import io.samphiregauge.core.duty.UsageAggregator;
 import io.samphiregauge.core.result.Result;
-import io.samphiregauge.gateway.DualTimestamp;
 import io.samphiregauge.gateway.GroupMember;
 import io.samphiregauge.gateway.port.AppendResult;
 import io.samphiregauge.gateway.port.FleetApi;
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/FleetOrders.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/FleetOrders.java
@@ -1,8 +1,8 @@
 package io.samphiregauge.gateway.control;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.fleet.DomainTarget;
 import io.samphiregauge.core.result.Result;
-import io.samphiregauge.gateway.DualTimestamp;
 import io.samphiregauge.gateway.port.FleetApi;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
@@ -1,8 +1,8 @@
 package io.samphiregauge.gateway.control;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.fleet.DomainTarget;
 import io.samphiregauge.core.fleet.DomainTargets;
-import io.samphiregauge.gateway.DualTimestamp;
 import io.samphiregauge.gateway.GatewayView;
 import io.samphiregauge.gateway.GroupMember;
 import io.samphiregauge.gateway.port.FleetApi;
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GroupFollower.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GroupFollower.java
@@ -1,6 +1,6 @@
 package io.samphiregauge.gateway.control;
 
-import io.samphiregauge.gateway.DualTimestamp;
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.gateway.GroupMember;
 import io.samphiregauge.gateway.port.SharedStore;
 import java.lang.System.Logger;
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/ReaderExchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/ReaderExchange.java
@@ -1,7 +1,7 @@
 package io.samphiregauge.gateway.control;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.backend.StoreReaders;
-import io.samphiregauge.gateway.DualTimestamp;
 import io.samphiregauge.gateway.GroupMember;
 import io.samphiregauge.schema.PeerMessage;
 import io.samphiregauge.schema.peer.ReaderQuery;
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/TopicFollower.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/TopicFollower.java
@@ -1,8 +1,8 @@
 package io.samphiregauge.gateway.control;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.result.Failure;
 import io.samphiregauge.core.result.Result;
-import io.samphiregauge.gateway.DualTimestamp;
 import io.samphiregauge.gateway.port.ReadResult;
 import io.samphiregauge.gateway.port.SharedStore;
 import io.samphiregauge.gateway.port.StoreRecord;
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/UsageRecorder.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/UsageRecorder.java
@@ -1,8 +1,8 @@
 package io.samphiregauge.gateway.control;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.duty.JumpTolerantClock;
 import io.samphiregauge.core.duty.UsageAggregator;
-import io.samphiregauge.gateway.DualTimestamp;
 import io.samphiregauge.gateway.GroupMember;
 import io.samphiregauge.gateway.port.SharedStore;
 import io.samphiregauge.gateway.port.StoreRecord;
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
@@ -1,6 +1,7 @@
 package io.samphiregauge.gateway.traffic;
 
 import io.netty.channel.EventLoop;
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.RandomSource;
 import io.samphiregauge.core.admit.SharedRetryBudget;
 import io.samphiregauge.core.dispatch.EngineRates;
@@ -10,7 +11,6 @@
 import io.samphiregauge.core.dispatch.ServerLoad;
 import io.samphiregauge.core.exchange.LoadExchange;
 import io.samphiregauge.core.site.EngineSpec;
-import io.samphiregauge.gateway.DualTimestamp;
 import io.samphiregauge.gateway.GatewayView;
 import io.samphiregauge.gateway.port.Dialect;
 import io.samphiregauge.net.Address;
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ForwardAttempt.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ForwardAttempt.java
@@ -1,9 +1,9 @@
 package io.samphiregauge.gateway.traffic;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.dispatch.EngineRates;
 import io.samphiregauge.core.dispatch.ServerChooser;
 import io.samphiregauge.core.dispatch.ServerLoad;
-import io.samphiregauge.gateway.DualTimestamp;
 import io.samphiregauge.gateway.port.KvSource;
 import io.samphiregauge.net.HttpConnection;
 import java.util.Optional;
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/PeerLoadExchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/PeerLoadExchange.java
@@ -1,8 +1,8 @@
 package io.samphiregauge.gateway.traffic;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.dispatch.ServerLoad;
 import io.samphiregauge.core.exchange.LoadExchange;
-import io.samphiregauge.gateway.DualTimestamp;
 import io.samphiregauge.gateway.GroupMember;
 import io.samphiregauge.net.PeerTransport;
 import io.samphiregauge.schema.peer.BackendLoad;
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RequestAccounting.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RequestAccounting.java
@@ -1,7 +1,7 @@
 package io.samphiregauge.gateway.traffic;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.site.Team;
-import io.samphiregauge.gateway.DualTimestamp;
 
 /** Counts a request in the usage of its team, once, when the first server starts to run it. */
 final class RequestAccounting {
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RequestDecisionLog.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RequestDecisionLog.java
@@ -1,8 +1,8 @@
 package io.samphiregauge.gateway.traffic;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.dispatch.ServerLoad;
 import io.samphiregauge.core.site.Team;
-import io.samphiregauge.gateway.DualTimestamp;
 import java.util.Optional;
 
 /** Logs the decisions on one request, with its identifier, route and team. */
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RequestRouter.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RequestRouter.java
@@ -2,12 +2,12 @@
 
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.RandomSource;
 import io.samphiregauge.core.result.Result;
 import io.samphiregauge.core.site.SiteConfig;
 import io.samphiregauge.core.site.SiteRoute;
 import io.samphiregauge.core.site.Team;
-import io.samphiregauge.gateway.DualTimestamp;
 import io.samphiregauge.gateway.GatewayView;
 import io.samphiregauge.gateway.port.Dialect;
 import io.samphiregauge.gateway.port.RequestMeta;
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RoutedRequest.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RoutedRequest.java
@@ -1,10 +1,10 @@
 package io.samphiregauge.gateway.traffic;
 
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.dispatch.Prompt;
 import io.samphiregauge.core.site.SiteRoute;
 import io.samphiregauge.core.site.Team;
-import io.samphiregauge.gateway.DualTimestamp;
 import io.samphiregauge.gateway.port.RequestMeta;
 import java.util.Optional;
 
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/TrafficCallbacks.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/TrafficCallbacks.java
@@ -1,6 +1,6 @@
 package io.samphiregauge.gateway.traffic;
 
-import io.samphiregauge.gateway.DualTimestamp;
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.schema.PeerMessage;
 import io.samphiregauge.schema.gateway.CrashRecord;
 import java.util.function.BiConsumer;
--- a/samphiregauge-gateway/src/test/java/io/samphiregauge/gateway/control/CrashFollowerTest.java
+++ b/samphiregauge-gateway/src/test/java/io/samphiregauge/gateway/control/CrashFollowerTest.java
@@ -2,7 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.samphiregauge.gateway.DualTimestamp;
+import io.samphiregauge.core.DualTimestamp;
 import org.junit.jupiter.api.Test;
 
 class CrashFollowerTest {
