Renew a lease on the duties right after it is claimed

Cause: an entry schedules its next tick before it reads the register, with the delay of a contender. From rank 3 on that delay exceeds the 2.8 s for which the holder may act, so the lease ended before its first renewal. Each new claim raises the token, and for over a second of every four nobody held the lease.

A claim now schedules the tick anew with the holder's period. Duty worker, recorder and orders take their clock as an argument, and the control thread its executor, so that DutyWorkerTest runs in simulated time. It fails without the new schedule: 60 s with one entry of rank 6 then take more than one token.

--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/ControlThread.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/ControlThread.java
@@ -17,12 +17,39 @@
 public final class ControlThread implements AutoCloseable {
   private static final Logger LOG = System.getLogger(ControlThread.class.getName());
 
-  private final ScheduledThreadPoolExecutor executor;
+  private final DelayedExecutor executor;
+  private final Runnable closer;
+
+  /** Runs tasks one at a time, each after a delay. */
+  @FunctionalInterface
+  interface DelayedExecutor {
+    /**
+     * Runs a task later.
+     *
+     * @param delayMs time until the task runs, in milliseconds
+     * @param task the task
+     * @throws RejectedExecutionException if the executor is closed
+     */
+    void execute(long delayMs, Runnable task);
+  }
 
   /** Starts the thread. */
   public ControlThread() {
-    executor = new ScheduledThreadPoolExecutor(1, task -> new Thread(task, "control"));
-    executor.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
+    ScheduledThreadPoolExecutor thread =
+        new ScheduledThreadPoolExecutor(1, task -> new Thread(task, "control"));
+    thread.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
+    executor = (delayMs, task) -> thread.schedule(task, delayMs, TimeUnit.MILLISECONDS);
+    closer = thread::shutdown;
+  }
+
+  /**
+   * Creates an instance that runs its events on another executor.
+   *
+   * @param executor runs the events; not closed by this instance
+   */
+  ControlThread(DelayedExecutor executor) {
+    this.executor = executor;
+    this.closer = () -> {};
   }
 
   /**
@@ -42,7 +69,7 @@
    */
   public void schedule(long delayMs, Runnable event) {
     try {
-      executor.schedule(() -> runAndLogFailure(event), delayMs, TimeUnit.MILLISECONDS);
+      executor.execute(delayMs, () -> runAndLogFailure(event));
     } catch (RejectedExecutionException e) {
       LOG.log(Level.DEBUG, "event=control_event_dropped reason=closed");
     }
@@ -75,6 +102,6 @@
 
   @Override
   public void close() {
-    executor.shutdown();
+    closer.run();
   }
 }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
@@ -23,6 +23,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
 
 /**
  * Claims and renews the duty lease. While holding it, seals and reports usage windows and lets
@@ -70,6 +71,7 @@
   private final UsageRecorder usageRecorder;
   private final FleetOrders fleetOrders;
   private final DutyTiming timing;
+  private final Supplier<DualTimestamp> clock;
   private final DutyLease lease;
   private final UsageAggregator aggregator = new UsageAggregator();
   private final SealTiming sealTiming;
@@ -86,6 +88,7 @@
   private boolean reportPending;
   private boolean wasHolder;
   private boolean stopped;
+  private long lastTickNumber;
 
   /**
    * Time limits of the duties, in milliseconds.
@@ -104,7 +107,8 @@
       UsageRecorder usageRecorder,
       FleetOrders fleetOrders,
       GroupMember self,
-      DutyTiming timing) {
+      DutyTiming timing,
+      Supplier<DualTimestamp> clock) {
     this.control = control;
     this.store = store;
     this.fleet = fleet;
@@ -113,6 +117,7 @@
     this.usageRecorder = usageRecorder;
     this.fleetOrders = fleetOrders;
     this.timing = timing;
+    this.clock = clock;
     this.sealTiming = new SealTiming(timing.reportDueMs());
     this.lease =
         new DutyLease(
@@ -121,22 +126,33 @@
 
   void start() {
     // Rank 0 claims the lease first; the other entries are delayed to avoid conflicting writes.
-    control.schedule((long) group.rank() * POLL_DELAY_PER_RANK_MS, this::tick);
+    scheduleTick((long) group.rank() * POLL_DELAY_PER_RANK_MS);
   }
 
   void stop() {
     stopped = true;
   }
 
+  /** Schedules the next tick, which replaces one that was scheduled before. */
+  private void scheduleTick(long delayMs) {
+    long number = ++lastTickNumber;
+    control.schedule(
+        delayMs,
+        () -> {
+          if (number == lastTickNumber) {
+            tick();
+          }
+        });
+  }
+
   private void tick() {
     if (stopped) {
       return;
     }
-    boolean holder = lease.isHeld(DualTimestamp.monotonicNowMs());
+    boolean holder = lease.isHeld(clock.get().monotonicMs());
     logHolderChange(holder);
     int rank = Math.min(MAX_DELAY_RANK, group.rank());
-    control.schedule(
-        holder ? POLL_PERIOD_MS : POLL_PERIOD_MS + rank * POLL_DELAY_PER_RANK_MS, this::tick);
+    scheduleTick(holder ? POLL_PERIOD_MS : POLL_PERIOD_MS + rank * POLL_DELAY_PER_RANK_MS);
     if (holder) {
       performDuties();
     } else {
@@ -171,10 +187,10 @@
         .ifPresent(
             records -> {
               lease.onRead(
-                  findLeaseRecord(records), records.nextOffset(), DualTimestamp.monotonicNowMs());
+                  findLeaseRecord(records), records.nextOffset(), clock.get().monotonicMs());
               if (!stopped) {
                 lease
-                    .prepareClaim(DualTimestamp.monotonicNowMs())
+                    .prepareClaim(clock.get().monotonicMs())
                     .ifPresent(write -> writeLease(write, this::onClaimed));
               }
             });
@@ -191,6 +207,8 @@
 
   private void onClaimed() {
     logHolderChange(true);
+    // The tick that was scheduled before the claim may come after the lease has ended.
+    scheduleTick(POLL_PERIOD_MS);
     performDuties();
   }
 
@@ -218,7 +236,7 @@
     if (result instanceof AppendResult.Appended appended) {
       lease.onWriteAccepted(write, appended.endOffset());
       heldUntilMs.set(
-          lease.isHeld(DualTimestamp.monotonicNowMs()) ? lease.heldUntilMs() : Long.MIN_VALUE);
+          lease.isHeld(clock.get().monotonicMs()) ? lease.heldUntilMs() : Long.MIN_VALUE);
       onAccepted.run();
       return true;
     }
@@ -259,7 +277,7 @@
     }
     lease
         .prepareRenewal(
-            nextRecord(lease.latest().orElseThrow(), sealUpTo), DualTimestamp.monotonicNowMs())
+            nextRecord(lease.latest().orElseThrow(), sealUpTo), clock.get().monotonicMs())
         .ifPresent(write -> writeLease(write, this::reportNextWindow));
   }
 
@@ -288,12 +306,11 @@
 
   private boolean isSealable(long window) {
     long sinceEndMs = usageRecorder.wallTimeMs() - (window + 1) * timing.windowMs();
-    return sealTiming.maySeal(
-        aggregator.isComplete(window), sinceEndMs, DualTimestamp.monotonicNowMs());
+    return sealTiming.maySeal(aggregator.isComplete(window), sinceEndMs, clock.get().monotonicMs());
   }
 
   private void recordStoreCall(Result<?> result) {
-    sealTiming.recordCall(result.value().isPresent(), DualTimestamp.monotonicNowMs());
+    sealTiming.recordCall(result.value().isPresent(), clock.get().monotonicMs());
   }
 
   /** Reads the usage records that were appended by any process since the last read. */
@@ -339,7 +356,7 @@
    */
   private void reportNextWindow() {
     Optional<DutyRecord> current = lease.latest();
-    if (reportPending || current.isEmpty() || !lease.isHeld(DualTimestamp.monotonicNowMs())) {
+    if (reportPending || current.isEmpty() || !lease.isHeld(clock.get().monotonicMs())) {
       return;
     }
     long reported = Math.max(lastReportedWindow, current.orElseThrow().getReportedWindow());
@@ -372,8 +389,6 @@
 
   private FleetApi.LeaseCredentials credentials() {
     return new FleetApi.LeaseCredentials(
-        self.vm(),
-        lease.token(),
-        () -> !stopped && DualTimestamp.monotonicNowMs() < heldUntilMs.get());
+        self.vm(), lease.token(), () -> !stopped && clock.get().monotonicMs() < heldUntilMs.get());
   }
 }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/FleetOrders.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/FleetOrders.java
@@ -1,6 +1,6 @@
 package io.samphiregauge.gateway.control;
 
-import io.samphiregauge.core.DualTimestamp;
+import io.samphiregauge.core.Clock;
 import io.samphiregauge.core.fleet.DomainTarget;
 import io.samphiregauge.core.result.Result;
 import io.samphiregauge.gateway.port.FleetApi;
@@ -37,6 +37,7 @@
   private final FleetApi fleet;
   private final Supplier<List<DomainTarget>> targets;
   private final ToIntFunction<DomainTarget> presentServers;
+  private final Clock clock;
 
   /** Monotonic time before which an order is not repeated, by target. */
   private final Map<DomainTarget, Long> nextOrderMs = new HashMap<>();
@@ -51,16 +52,19 @@
    * @param fleet sends orders to the platform
    * @param targets provides the numbers of servers that are currently planned
    * @param presentServers counts the usable servers of a target
+   * @param clock monotonic clock
    */
   FleetOrders(
       ControlThread control,
       FleetApi fleet,
       Supplier<List<DomainTarget>> targets,
-      ToIntFunction<DomainTarget> presentServers) {
+      ToIntFunction<DomainTarget> presentServers,
+      Clock clock) {
     this.control = control;
     this.fleet = fleet;
     this.targets = targets;
     this.presentServers = presentServers;
+    this.clock = clock;
   }
 
   /**
@@ -86,7 +90,7 @@
   private boolean isDue(DomainTarget target) {
     Optional<Long> earliest = Optional.ofNullable(nextOrderMs.get(target));
     return earliest.isEmpty()
-        || (DualTimestamp.monotonicNowMs() >= earliest.orElseThrow()
+        || (clock.nowMs() >= earliest.orElseThrow()
             && presentServers.applyAsInt(target) != target.servers());
   }
 
@@ -117,9 +121,7 @@
         Long.toString(credentials.token()),
         result.fold(available -> Boolean.toString(available), failure -> failure.type()));
     boolean accepted = result.value().orElse(false);
-    nextOrderMs.put(
-        target,
-        DualTimestamp.monotonicNowMs() + (accepted ? target.bootMs() + ANNOUNCE_MS : RETRY_MS));
+    nextOrderMs.put(target, clock.nowMs() + (accepted ? target.bootMs() + ANNOUNCE_MS : RETRY_MS));
     if (accepted) {
       sendNextOrder(credentials);
     }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
@@ -92,7 +92,13 @@
             new ReaderExchange.Followers(backendFollower, configFollower, crashFollower));
     long windowMs = settings.getUsageWindowS() * MS_PER_S;
     this.usageRecorder =
-        new UsageRecorder(control, store, self, windowMs, () -> groupFollower.members().size());
+        new UsageRecorder(
+            control,
+            store,
+            self,
+            windowMs,
+            () -> groupFollower.members().size(),
+            DualTimestamp::now);
     this.dutyWorker =
         fleet.map(
             api ->
@@ -102,10 +108,16 @@
                     api,
                     groupFollower,
                     usageRecorder,
-                    new FleetOrders(control, api, this::plannedTargets, this::countPresentServers),
+                    new FleetOrders(
+                        control,
+                        api,
+                        this::plannedTargets,
+                        this::countPresentServers,
+                        DualTimestamp::monotonicNowMs),
                     self,
                     new DutyWorker.DutyTiming(
-                        settings.getLeaseMs(), windowMs, settings.getUsageLateS() * MS_PER_S)));
+                        settings.getLeaseMs(), windowMs, settings.getUsageLateS() * MS_PER_S),
+                    DualTimestamp::now));
   }
 
   /**
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/UsageRecorder.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/UsageRecorder.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 
 /**
  * Counts the requests of this process by window and team, and writes the counts to the store. Runs
@@ -42,7 +43,8 @@
   private final long windowMs;
   private final IntSupplier processCount;
   private final UsageAggregator.ProcessKey processKey;
-  private final JumpTolerantClock clock;
+  private final Supplier<DualTimestamp> clock;
+  private final JumpTolerantClock wallClock;
   private final UsageAggregator aggregator = new UsageAggregator();
   private boolean hasUnwrittenCounts;
   private boolean retryScheduled;
@@ -52,15 +54,17 @@
       SharedStore store,
       GroupMember self,
       long windowMs,
-      IntSupplier processCount) {
+      IntSupplier processCount,
+      Supplier<DualTimestamp> clock) {
     this.processCount = processCount;
     this.control = control;
     this.store = store;
     this.self = self;
     this.processKey = new UsageAggregator.ProcessKey(self.vm(), self.startMs());
     this.windowMs = windowMs;
-    DualTimestamp now = DualTimestamp.now();
-    this.clock = new JumpTolerantClock(now.monotonicMs(), now.wallMs());
+    this.clock = clock;
+    DualTimestamp now = clock.get();
+    this.wallClock = new JumpTolerantClock(now.monotonicMs(), now.wallMs());
   }
 
   void start() {
@@ -69,8 +73,8 @@
 
   /** Returns the time that determines usage windows, in milliseconds since the epoch. */
   long wallTimeMs() {
-    DualTimestamp now = DualTimestamp.now();
-    return clock.millis(now.monotonicMs(), now.wallMs());
+    DualTimestamp now = clock.get();
+    return wallClock.millis(now.monotonicMs(), now.wallMs());
   }
 
   /**
--- /dev/null
+++ b/samphiregauge-gateway/src/test/java/io/samphiregauge/gateway/control/DutyWorkerTest.java
@@ -0,0 +1,137 @@
+package io.samphiregauge.gateway.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.samphiregauge.core.fleet.DomainTarget;
+import io.samphiregauge.core.result.Result;
+import io.samphiregauge.gateway.GroupMember;
+import io.samphiregauge.gateway.port.AppendResult;
+import io.samphiregauge.gateway.port.FleetApi;
+import io.samphiregauge.gateway.port.ReadResult;
+import io.samphiregauge.gateway.port.SharedStore;
+import io.samphiregauge.gateway.port.StoreRecord;
+import io.samphiregauge.gateway.port.Topic;
+import io.samphiregauge.net.NetFailure;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.junit.jupiter.api.Test;
+
+class DutyWorkerTest {
+  private static final long LEASE_MS = 3_000;
+  private static final long STORE_DELAY_MS = 4;
+
+  private final SimulatedTime time = new SimulatedTime();
+  private final List<PlatformCall> calls = new ArrayList<>();
+  private final List<StoreRecord> register = new ArrayList<>();
+
+  /** A call that the platform received. */
+  private record PlatformCall(String vm, long token, long atMs) {}
+
+  /**
+   * Guards against a holder whose first renewal comes after its lease has ended. Its entry then
+   * claimed the lease again and again, each time with a higher token.
+   */
+  @Test
+  void holderOfHighRankRenewsItsFirstLeaseInTime() {
+    startWorker("vm-9", time.newVm(), otherMembers(6));
+    time.run(60_000);
+    assertThat(calls).isNotEmpty().allMatch(call -> call.token() == calls.get(0).token());
+  }
+
+  private static List<GroupMember> otherMembers(int count) {
+    List<GroupMember> members = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      members.add(member("vm-" + i));
+    }
+    return members;
+  }
+
+  private static GroupMember member(String vm) {
+    return new GroupMember(vm, 1, "domain-a", "127.0.0.1:1", "127.0.0.1:2");
+  }
+
+  private void startWorker(String name, SimulatedTime.Vm vm, List<GroupMember> others) {
+    GroupMember self = member(name);
+    ControlThread control = vm.newControlThread();
+    SharedStore store = store(vm, others);
+    GroupFollower group = new GroupFollower(control, store, self, () -> {});
+    group.start();
+    FleetApi fleet =
+        new FleetApi(
+            (usage, credentials) -> callPlatform(vm, credentials),
+            (order, credentials) -> callPlatform(vm, credentials));
+    DomainTarget target = new DomainTarget("planner", "domain-a", false, 2, 0);
+    DutyWorker worker =
+        new DutyWorker(
+            control,
+            store,
+            fleet,
+            group,
+            new UsageRecorder(control, store, self, 5_000, () -> 1, vm::now),
+            // No servers appear, so the order is repeated all the time.
+            new FleetOrders(
+                control, fleet, () -> List.of(target), any -> 0, () -> vm.now().monotonicMs()),
+            self,
+            new DutyWorker.DutyTiming(LEASE_MS, 5_000, 10_000),
+            vm::now);
+    // The worker learns its rank from the members.
+    control.schedule(100, worker::start);
+  }
+
+  private CompletableFuture<Result<Boolean>> callPlatform(
+      SimulatedTime.Vm vm, FleetApi.LeaseCredentials credentials) {
+    return respond(
+        vm,
+        () -> {
+          if (!credentials.stillHeld().getAsBoolean()) {
+            return Result.failed(new NetFailure.Withheld("platform"));
+          }
+          calls.add(new PlatformCall(credentials.holder(), credentials.token(), time.nowMs()));
+          return Result.success(true);
+        });
+  }
+
+  private SharedStore store(SimulatedTime.Vm vm, List<GroupMember> others) {
+    return new SharedStore(
+        topic -> respond(vm, () -> Result.success(readRegister())),
+        (topic, offset, waitMs) ->
+            respond(vm, () -> Result.success(new ReadResult.Records(List.of(), offset))),
+        (topic, record, end) -> respond(vm, () -> Result.success(append(topic, record, end))),
+        (member, generation) -> respond(vm, () -> Result.success(1L)),
+        member -> respond(vm, () -> Result.success(0L)),
+        () -> respond(vm, () -> Result.success(others.stream().map(GroupMember::encode).toList())));
+  }
+
+  private ReadResult.Records readRegister() {
+    List<StoreRecord> newest =
+        register.isEmpty() ? List.of() : List.of(register.get(register.size() - 1));
+    return new ReadResult.Records(newest, register.size());
+  }
+
+  private AppendResult append(Topic topic, StoreRecord record, OptionalLong expectedEnd) {
+    if (topic != Topic.DUTY) {
+      return new AppendResult.Appended(0);
+    }
+    if (expectedEnd.orElse(register.size()) != register.size()) {
+      return new AppendResult.Conflict(register.size());
+    }
+    register.add(record);
+    return new AppendResult.Appended(register.size());
+  }
+
+  /** Performs a call after half of the round trip, and responds after the other half. */
+  private static <T> CompletableFuture<Result<T>> respond(
+      SimulatedTime.Vm vm, Supplier<Result<T>> call) {
+    CompletableFuture<Result<T>> future = new CompletableFuture<>();
+    vm.execute(
+        STORE_DELAY_MS / 2,
+        () -> {
+          Result<T> result = call.get();
+          vm.execute(STORE_DELAY_MS / 2, () -> future.complete(result));
+        });
+    return future;
+  }
+}
