End the lease on the duties by both clocks

Cause: the holder counted its lease by the monotonic clock alone, which stands still while a VM is suspended. After a suspension of some seconds the former holder still believed in its lease and, before its next renewal was rejected, sent orders and reports with its old token; its successor had already acted. The same held for a renewal whose answer was read after the suspension.

The lease now yields a tenure, an immutable span that threads check before they write: it ends when either clock says so, and at once when the clocks disagree by more than 200 ms, as after a suspension or a set clock. A contender still counts by the monotonic clock, which never runs ahead. Credentials are bound to the token with which they were issued; before, calls with a captured token were checked against whichever lease was held at that moment.

The property in DutyLeaseTest now suspends entries too.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/duty/DutyLease.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/duty/DutyLease.java
@@ -1,5 +1,6 @@
 package io.samphiregauge.core.duty;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.schema.gateway.DutyRecord;
 import java.util.List;
 import java.util.Optional;
@@ -13,6 +14,10 @@
  * it from the time at which it first observed the write. A contender that waits for the whole lease
  * therefore never acts concurrently with the holder, and a former holder cannot act again within
  * one lease of the first action of its successor.
+ *
+ * <p>The monotonic clock stops while a VM is suspended, and the wall clock may be set. The holder
+ * therefore counts by the clock that advanced further, and gives the lease up if both disagree. A
+ * contender counts by the monotonic clock alone, which never runs ahead.
  */
 public final class DutyLease {
   private static final long NO_TOKEN = 0;
@@ -22,19 +27,47 @@
   private final long leaseMs;
   private final long marginMs;
   private Optional<Observation> lastObserved = Optional.empty();
-  private long heldUntilMs = Long.MIN_VALUE;
+  private Optional<Tenure> tenure = Optional.empty();
 
-  /** The register as last read or written, and the monotonic time at which that was observed. */
-  private record Observation(Optional<DutyRecord> value, long endOffset, long observedAtMs) {}
+  /** The register as last read or written, and the time at which that was observed. */
+  private record Observation(
+      Optional<DutyRecord> value, long endOffset, DualTimestamp observedAt) {}
 
   /**
    * A conditional write to the register.
    *
    * @param value record to write
    * @param expectedEndOffset end offset of the register for which the write may succeed
-   * @param sentMs monotonic time at which the write is sent
+   * @param sentAt time at which the write is sent
+   */
+  public record Write(DutyRecord value, long expectedEndOffset, DualTimestamp sentAt) {}
+
+  /**
+   * A time span in which this process may act as the holder; immutable.
+   *
+   * @param token fencing token of the span
+   * @param since time from which the span counts
+   * @param durationMs length of the span, in milliseconds
    */
-  public record Write(DutyRecord value, long expectedEndOffset, long sentMs) {}
+  public record Tenure(long token, DualTimestamp since, long durationMs) {
+    /** Deviation of the two clocks above which one of them was set or the VM was suspended. */
+    private static final long MAX_CLOCK_DEVIATION_MS = 200;
+
+    /**
+     * Returns the time for which this process may still act.
+     *
+     * @param now current time
+     * @return milliseconds; 0 if the span has ended or the clocks disagree about its length
+     */
+    public long remainingMs(DualTimestamp now) {
+      long monotonicMs = now.monotonicMs() - since.monotonicMs();
+      long wallMs = now.wallMs() - since.wallMs();
+      if (Math.abs(wallMs - monotonicMs) > MAX_CLOCK_DEVIATION_MS) {
+        return 0;
+      }
+      return Math.max(0, durationMs - now.millisSince(since));
+    }
+  }
 
   /**
    * Creates the lease of a process that has not read the register yet.
@@ -57,17 +90,17 @@
    *
    * @param value record in the register, or empty before the first write
    * @param endOffset end offset of the register
-   * @param nowMs current monotonic time
+   * @param now current time
    */
-  public void onRead(Optional<DutyRecord> value, long endOffset, long nowMs) {
+  public void onRead(Optional<DutyRecord> value, long endOffset, DualTimestamp now) {
     if (lastObserved.map(last -> endOffset < last.endOffset()).orElse(false)) {
       return;
     }
     boolean unchanged = lastObserved.map(last -> last.endOffset() == endOffset).orElse(false);
     if (!unchanged) {
-      lastObserved = Optional.of(new Observation(value, endOffset, nowMs));
+      lastObserved = Optional.of(new Observation(value, endOffset, now));
       if (!value.map(this::isOwn).orElse(false)) {
-        heldUntilMs = Long.MIN_VALUE;
+        tenure = Optional.empty();
       }
     }
   }
@@ -80,23 +113,23 @@
    */
   public void onWriteAccepted(Write write, long endOffset) {
     lastObserved =
-        Optional.of(new Observation(Optional.of(write.value()), endOffset, write.sentMs()));
-    heldUntilMs = write.sentMs() + leaseMs - marginMs;
+        Optional.of(new Observation(Optional.of(write.value()), endOffset, write.sentAt()));
+    tenure = Optional.of(new Tenure(write.value().getToken(), write.sentAt(), leaseMs - marginMs));
   }
 
   /**
    * Returns whether this process may act as the holder.
    *
-   * @param nowMs current monotonic time
+   * @param now current time
    * @return true if this process holds the lease and the margin has not begun
    */
-  public boolean isHeld(long nowMs) {
-    return nowMs < heldUntilMs;
+  public boolean isHeld(DualTimestamp now) {
+    return tenure.filter(span -> span.remainingMs(now) > 0).isPresent();
   }
 
-  /** Returns the monotonic time at which this process must stop acting as the holder. */
-  public long heldUntilMs() {
-    return heldUntilMs;
+  /** Returns the span in which this process may act, which may have ended already. */
+  public Optional<Tenure> tenure() {
+    return tenure;
   }
 
   /** Returns the fencing token of the newest known record, or 0 if there is none. */
@@ -112,36 +145,36 @@
   /**
    * Prepares a claim of the lease.
    *
-   * @param nowMs current monotonic time
+   * @param now current time
    * @return the write to send, or empty if the lease is not free
    */
-  public Optional<Write> prepareClaim(long nowMs) {
+  public Optional<Write> prepareClaim(DualTimestamp now) {
     return lastObserved
-        .filter(last -> isFree(last, nowMs))
-        .map(last -> new Write(claimRecord(last.value()), last.endOffset(), nowMs));
+        .filter(last -> isFree(last, now))
+        .map(last -> new Write(claimRecord(last.value()), last.endOffset(), now));
   }
 
   /**
    * Prepares a renewal of the lease, which may also change the other fields of the record.
    *
    * @param next record to write, with the holder and token of the current record
-   * @param nowMs current monotonic time
+   * @param now current time
    * @return the write to send, or empty if this process does not hold the lease
    */
-  public Optional<Write> prepareRenewal(DutyRecord next, long nowMs) {
+  public Optional<Write> prepareRenewal(DutyRecord next, DualTimestamp now) {
     return lastObserved
-        .filter(last -> isHeld(nowMs))
-        .map(last -> new Write(next, last.endOffset(), nowMs));
+        .filter(last -> isHeld(now))
+        .map(last -> new Write(next, last.endOffset(), now));
   }
 
-  private boolean isFree(Observation observed, long nowMs) {
-    if (isHeld(nowMs)) {
+  private boolean isFree(Observation observed, DualTimestamp now) {
+    if (isHeld(now)) {
       return false;
     }
     // An earlier process of this VM must have ended, and the conditional write fails if another VM
     // claims the lease first.
     boolean ownVm = observed.value().map(value -> value.getHolder().equals(vm)).orElse(true);
-    return ownVm || nowMs - observed.observedAtMs() >= leaseMs;
+    return ownVm || now.monotonicMs() - observed.observedAt().monotonicMs() >= leaseMs;
   }
 
   private boolean isOwn(DutyRecord value) {
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/duty/DutyLeaseTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/duty/DutyLeaseTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.schema.gateway.DutyRecord;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,6 +19,13 @@
   /** Minimum time between two actions of one entry if another entry acts between them. */
   private static final long MIN_ALTERNATION_MS = 3_000;
 
+  private static final long WALL_OFFSET_MS = 1_700_000_000_000L;
+
+  /** Returns a time at which both clocks have advanced equally. */
+  private static DualTimestamp at(long ms) {
+    return new DualTimestamp(ms, WALL_OFFSET_MS + ms);
+  }
+
   private static DutyLease newLease(String vm) {
     return new DutyLease(vm, 1, LEASE_MS, MARGIN_MS);
   }
@@ -26,54 +34,103 @@
   @Test
   void holdsOnlyUntilTheMarginBeforeTheLeaseEnds() {
     DutyLease lease = newLease("a");
-    lease.onRead(Optional.empty(), 0, 100);
-    DutyLease.Write claim = lease.prepareClaim(100).orElseThrow();
-    assertThat(lease.isHeld(100)).isFalse();
+    lease.onRead(Optional.empty(), 0, at(100));
+    DutyLease.Write claim = lease.prepareClaim(at(100)).orElseThrow();
+    assertThat(lease.isHeld(at(100))).isFalse();
     lease.onWriteAccepted(claim, 1);
-    assertThat(lease.isHeld(100 + LEASE_MS - MARGIN_MS - 1)).isTrue();
-    assertThat(lease.isHeld(100 + LEASE_MS - MARGIN_MS)).isFalse();
+    assertThat(lease.isHeld(at(100 + LEASE_MS - MARGIN_MS - 1))).isTrue();
+    assertThat(lease.isHeld(at(100 + LEASE_MS - MARGIN_MS))).isFalse();
+  }
+
+  /** Guards against a holder that acts on although its VM was suspended for the whole lease. */
+  @Test
+  void suspensionEndsTheLeaseThoughTheMonotonicClockStoodStill() {
+    DutyLease lease = newLease("a");
+    lease.onRead(Optional.empty(), 0, at(100));
+    lease.onWriteAccepted(lease.prepareClaim(at(100)).orElseThrow(), 1);
+    DualTimestamp afterSuspension = new DualTimestamp(110, WALL_OFFSET_MS + 5_110);
+    assertThat(lease.isHeld(afterSuspension)).isFalse();
+    assertThat(lease.prepareRenewal(lease.latest().orElseThrow(), afterSuspension)).isEmpty();
+  }
+
+  /** Guards against an accepted write whose answer arrives after a suspension. */
+  @Test
+  void answerAfterASuspensionGrantsNothing() {
+    DutyLease lease = newLease("a");
+    lease.onRead(Optional.empty(), 0, at(100));
+    DutyLease.Write claim = lease.prepareClaim(at(100)).orElseThrow();
+    lease.onWriteAccepted(claim, 1);
+    assertThat(lease.isHeld(new DualTimestamp(110, WALL_OFFSET_MS + 5_110))).isFalse();
+  }
+
+  /** Guards against a suspension that is hidden because the wall clock was set back as well. */
+  @Test
+  void holderGivesUpItsLeaseWhenTheClocksDisagree() {
+    DutyLease lease = newLease("a");
+    lease.onRead(Optional.empty(), 0, at(100));
+    lease.onWriteAccepted(lease.prepareClaim(at(100)).orElseThrow(), 1);
+    assertThat(lease.isHeld(new DualTimestamp(200, WALL_OFFSET_MS - 1_800))).isFalse();
+  }
+
+  /** Guards against a contender whose wall clock runs ahead and that claims too early. */
+  @Test
+  void contenderDoesNotCountByTheWallClock() {
+    DutyLease contender = newLease("b");
+    contender.onRead(Optional.of(new DutyRecord("a", 1, 4, 9, List.of(), 0)), 7, at(1_000));
+    DualTimestamp clockSetForward = new DualTimestamp(1_100, WALL_OFFSET_MS + 9_000);
+    assertThat(contender.prepareClaim(clockSetForward)).isEmpty();
   }
 
   /** Guards against a claim before a whole lease has passed on the contender's own clock. */
   @Test
   void contenderWaitsForTheWholeLeaseFromItsOwnObservation() {
     DutyLease contender = newLease("b");
-    contender.onRead(Optional.of(new DutyRecord("a", 1, 4, 9, List.of(), 0)), 7, 1_000);
-    assertThat(contender.prepareClaim(1_000 + LEASE_MS - 1)).isEmpty();
-    DutyLease.Write claim = contender.prepareClaim(1_000 + LEASE_MS).orElseThrow();
+    contender.onRead(Optional.of(new DutyRecord("a", 1, 4, 9, List.of(), 0)), 7, at(1_000));
+    assertThat(contender.prepareClaim(at(1_000 + LEASE_MS - 1))).isEmpty();
+    DutyLease.Write claim = contender.prepareClaim(at(1_000 + LEASE_MS)).orElseThrow();
     assertThat(claim.expectedEndOffset()).isEqualTo(7);
     assertThat(claim.value().getToken()).isEqualTo(5);
-    contender.onRead(Optional.of(new DutyRecord("a", 1, 4, 10, List.of(), 0)), 8, 2_000);
-    assertThat(contender.prepareClaim(1_000 + LEASE_MS)).isEmpty();
+    contender.onRead(Optional.of(new DutyRecord("a", 1, 4, 10, List.of(), 0)), 8, at(2_000));
+    assertThat(contender.prepareClaim(at(1_000 + LEASE_MS))).isEmpty();
   }
 
   /** Guards against a restart after which nobody performs the duties for a whole lease. */
   @Test
   void restartedProcessClaimsTheLeaseOfItsOwnVmImmediately() {
     DutyLease lease = new DutyLease("a", 2, LEASE_MS, MARGIN_MS);
-    lease.onRead(Optional.of(new DutyRecord("a", 1, 4, 9, List.of(), 0)), 7, 1_000);
-    assertThat(lease.isHeld(1_000)).isFalse();
-    assertThat(lease.prepareClaim(1_000).orElseThrow().value().getToken()).isEqualTo(5);
+    lease.onRead(Optional.of(new DutyRecord("a", 1, 4, 9, List.of(), 0)), 7, at(1_000));
+    assertThat(lease.isHeld(at(1_000))).isFalse();
+    assertThat(lease.prepareClaim(at(1_000)).orElseThrow().value().getToken()).isEqualTo(5);
   }
 
   /** Guards against an outdated read of the register that replaces a newer record. */
   @Test
   void ignoresAnOlderRead() {
     DutyLease lease = newLease("a");
-    lease.onRead(Optional.of(new DutyRecord("b", 1, 4, 9, List.of(), 0)), 7, 1_000);
-    lease.onRead(Optional.of(new DutyRecord("c", 1, 3, 8, List.of(), 0)), 6, 1_100);
+    lease.onRead(Optional.of(new DutyRecord("b", 1, 4, 9, List.of(), 0)), 7, at(1_000));
+    lease.onRead(Optional.of(new DutyRecord("c", 1, 3, 8, List.of(), 0)), 6, at(1_100));
     assertThat(lease.token()).isEqualTo(4);
   }
 
   /** A simulated entry whose clock is offset from the simulated time by a constant. */
   private static final class Entry {
     final DutyLease lease;
-    final long clockOffsetMs;
+    private final long clockOffsetMs;
+    private long suspendedMs;
 
     Entry(String vm, long clockOffsetMs) {
       lease = newLease(vm);
       this.clockOffsetMs = clockOffsetMs;
     }
+
+    /** Counts a suspension, which the monotonic clock does not. */
+    void suspend(long durationMs) {
+      suspendedMs += durationMs;
+    }
+
+    DualTimestamp clocks(long nowMs) {
+      return new DualTimestamp(nowMs + clockOffsetMs - suspendedMs, WALL_OFFSET_MS + nowMs);
+    }
   }
 
   private record Action(int entry, long token, long atMs) {}
@@ -81,7 +138,7 @@
   /**
    * Guards against two holders with the same token, a decreasing token, and holders that act
    * alternately within {@link #MIN_ALTERNATION_MS}, while writes take effect late or without a
-   * response and entries pause.
+   * response and entries are paused or suspended.
    */
   @Property(tries = 300, seed = "11")
   void oneHolderActsAtATime(@ForAll long seed) {
@@ -109,10 +166,14 @@
         continue;
       }
       if (random.nextInt(40) == 0) {
-        pausedUntilMs[chosen] = now + random.nextLong(6_000);
+        long pauseMs = random.nextLong(6_000);
+        pausedUntilMs[chosen] = now + pauseMs;
+        if (random.nextBoolean()) {
+          entry.suspend(pauseMs);
+        }
         continue;
       }
-      long local = now + entry.clockOffsetMs;
+      DualTimestamp local = entry.clocks(now);
       if (entry.lease.isHeld(local)) {
         actions.add(new Action(chosen, entry.lease.token(), now));
       } else {
@@ -138,7 +199,7 @@
     assertThat(actions).isNotEmpty();
   }
 
-  private static Optional<DutyLease.Write> nextWrite(DutyLease lease, long local) {
+  private static Optional<DutyLease.Write> nextWrite(DutyLease lease, DualTimestamp local) {
     if (!lease.isHeld(local)) {
       return lease.prepareClaim(local);
     }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
@@ -22,7 +22,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 
 /**
@@ -76,18 +76,16 @@
   private final UsageAggregator aggregator = new UsageAggregator();
   private final SealTiming sealTiming;
 
-  /**
-   * Monotonic time at which the lease ends. Threads that send calls check it immediately before
-   * they write a call, and cancel the call after the end of the lease.
-   */
-  private final AtomicLong heldUntilMs = new AtomicLong(Long.MIN_VALUE);
+  /** The span in which this entry may act; also read by the threads that send calls. */
+  private final AtomicReference<Optional<DutyLease.Tenure>> tenure =
+      new AtomicReference<>(Optional.empty());
 
   private long usageOffset;
   private long lastReportedWindow;
   private boolean writePending;
   private boolean reportPending;
   private boolean wasHolder;
-  private boolean stopped;
+  private volatile boolean stopped;
   private long lastTickNumber;
 
   /**
@@ -149,7 +147,7 @@
     if (stopped) {
       return;
     }
-    boolean holder = lease.isHeld(clock.get().monotonicMs());
+    boolean holder = lease.isHeld(clock.get());
     logHolderChange(holder);
     int rank = Math.min(MAX_DELAY_RANK, group.rank());
     scheduleTick(holder ? POLL_PERIOD_MS : POLL_PERIOD_MS + rank * POLL_DELAY_PER_RANK_MS);
@@ -186,11 +184,11 @@
         .value()
         .ifPresent(
             records -> {
-              lease.onRead(
-                  findLeaseRecord(records), records.nextOffset(), clock.get().monotonicMs());
+              lease.onRead(findLeaseRecord(records), records.nextOffset(), clock.get());
+              tenure.set(lease.tenure());
               if (!stopped) {
                 lease
-                    .prepareClaim(clock.get().monotonicMs())
+                    .prepareClaim(clock.get())
                     .ifPresent(write -> writeLease(write, this::onClaimed));
               }
             });
@@ -235,10 +233,12 @@
   private boolean onLeaseWritten(DutyLease.Write write, AppendResult result, Runnable onAccepted) {
     if (result instanceof AppendResult.Appended appended) {
       lease.onWriteAccepted(write, appended.endOffset());
-      heldUntilMs.set(
-          lease.isHeld(clock.get().monotonicMs()) ? lease.heldUntilMs() : Long.MIN_VALUE);
-      onAccepted.run();
-      return true;
+      tenure.set(lease.tenure());
+      // The answer may have come after the end of the lease that it grants.
+      if (lease.isHeld(clock.get())) {
+        onAccepted.run();
+        return true;
+      }
     }
     readLease();
     return false;
@@ -276,8 +276,7 @@
       return;
     }
     lease
-        .prepareRenewal(
-            nextRecord(lease.latest().orElseThrow(), sealUpTo), clock.get().monotonicMs())
+        .prepareRenewal(nextRecord(lease.latest().orElseThrow(), sealUpTo), clock.get())
         .ifPresent(write -> writeLease(write, this::reportNextWindow));
   }
 
@@ -356,7 +355,7 @@
    */
   private void reportNextWindow() {
     Optional<DutyRecord> current = lease.latest();
-    if (reportPending || current.isEmpty() || !lease.isHeld(clock.get().monotonicMs())) {
+    if (reportPending || current.isEmpty() || !lease.isHeld(clock.get())) {
       return;
     }
     long reported = Math.max(lastReportedWindow, current.orElseThrow().getReportedWindow());
@@ -388,7 +387,15 @@
   }
 
   private FleetApi.LeaseCredentials credentials() {
-    return new FleetApi.LeaseCredentials(
-        self.vm(), lease.token(), () -> !stopped && clock.get().monotonicMs() < heldUntilMs.get());
+    long token = lease.token();
+    return new FleetApi.LeaseCredentials(self.vm(), token, () -> !stopped && isHeld(token));
+  }
+
+  /** Returns whether this entry holds the lease with a token. Thread-safe. */
+  private boolean isHeld(long token) {
+    return tenure
+        .get()
+        .filter(span -> span.token() == token && span.remainingMs(clock.get()) > 0)
+        .isPresent();
   }
 }
--- a/samphiregauge-gateway/src/test/java/io/samphiregauge/gateway/control/DutyWorkerTest.java
+++ b/samphiregauge-gateway/src/test/java/io/samphiregauge/gateway/control/DutyWorkerTest.java
@@ -41,6 +41,29 @@
     assertThat(calls).isNotEmpty().allMatch(call -> call.token() == calls.get(0).token());
   }
 
+  /**
+   * Guards against a holder that was suspended and whose monotonic clock did not count that time:
+   * it sent calls after its successor had begun to send some with a higher token.
+   */
+  @Test
+  void suspendedHolderSendsNothingAfterItsSuccessor() {
+    SimulatedTime.Vm holder = time.newVm();
+    startWorker("vm-0", holder, List.of(member("vm-1")));
+    startWorker("vm-1", time.newVm(), List.of(member("vm-0")));
+    for (int round = 0; round < 20; round++) {
+      // Steps of 97 ms suspend the VM at another moment of its renewal period in each round.
+      time.run(10_000 + 97L * round);
+      holder.suspend(6_000);
+      time.run(12_000);
+    }
+    assertThat(calls.stream().map(PlatformCall::vm).distinct()).hasSize(2);
+    for (int i = 1; i < calls.size(); i++) {
+      assertThat(calls.get(i).token())
+          .as("token of %s after %s", calls.get(i), calls.get(i - 1))
+          .isGreaterThanOrEqualTo(calls.get(i - 1).token());
+    }
+  }
+
   private static List<GroupMember> otherMembers(int count) {
     List<GroupMember> members = new ArrayList<>();
     for (int i = 0; i < count; i++) {
