Derive the token of a lease on the duties from the offset of its register

The end offset of the register grows with each write, so a claim takes the greater one of it and the last token, plus one. A register that was written but has no readable record is claimed after a whole lease only.

DutyLeaseTest.unreadableRecordNeitherFreesTheLeaseNorResetsTheToken fails before.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/duty/DutyLease.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/duty/DutyLease.java
@@ -151,7 +151,7 @@
   public Optional<Write> prepareClaim(DualTimestamp now) {
     return lastObserved
         .filter(last -> isFree(last, now))
-        .map(last -> new Write(claimRecord(last.value()), last.endOffset(), now));
+        .map(last -> new Write(claimRecord(last), last.endOffset(), now));
   }
 
   /**
@@ -171,21 +171,33 @@
     if (isHeld(now)) {
       return false;
     }
+    if (now.monotonicMs() - observed.observedAt().monotonicMs() >= leaseMs) {
+      return true;
+    }
     // An earlier process of this VM must have ended, and the conditional write fails if another VM
-    // claims the lease first.
-    boolean ownVm = observed.value().map(value -> value.getHolder().equals(vm)).orElse(true);
-    return ownVm || now.monotonicMs() - observed.observedAt().monotonicMs() >= leaseMs;
+    // claims the lease first. A register without a readable record was never written, or its
+    // holder is unknown and may still act.
+    return observed
+        .value()
+        .map(value -> value.getHolder().equals(vm))
+        .orElse(observed.endOffset() == 0);
   }
 
   private boolean isOwn(DutyRecord value) {
     return value.getHolder().equals(vm) && value.getBoot() == startMs;
   }
 
-  private DutyRecord claimRecord(Optional<DutyRecord> previous) {
+  /**
+   * Returns the record of a claim. The end offset grows with each write to the register, so the
+   * token increases also if the record before it is missing or cannot be read.
+   */
+  private DutyRecord claimRecord(Observation observed) {
+    Optional<DutyRecord> previous = observed.value();
+    long lastToken = previous.map(DutyRecord::getToken).orElse(NO_TOKEN);
     return new DutyRecord(
         vm,
         startMs,
-        previous.map(DutyRecord::getToken).orElse(NO_TOKEN) + 1,
+        Math.max(lastToken, observed.endOffset()) + 1,
         previous.map(DutyRecord::getTick).orElse(0L) + 1,
         previous.map(DutyRecord::getSealed).orElse(List.of()),
         previous.map(DutyRecord::getReportedWindow).orElse(0L));
