--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/duty/DutyLease.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/duty/DutyLease.java
@@ -60,12 +60,18 @@
      * @return milliseconds; 0 if the span has ended or the clocks disagree about its length
      */
     public long remainingMs(DualTimestamp now) {
+      return clocksAgree(now) ? Math.max(0, durationMs - now.millisSince(since)) : 0;
+    }
+
+    /**
+     * Returns whether both clocks have advanced equally since the start of the span.
+     *
+     * @param now current time
+     */
+    public boolean clocksAgree(DualTimestamp now) {
       long monotonicMs = now.monotonicMs() - since.monotonicMs();
       long wallMs = now.wallMs() - since.wallMs();
-      if (Math.abs(wallMs - monotonicMs) > MAX_CLOCK_DEVIATION_MS) {
-        return 0;
-      }
-      return Math.max(0, durationMs - now.millisSince(since));
+      return Math.abs(wallMs - monotonicMs) <= MAX_CLOCK_DEVIATION_MS;
     }
   }
 
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
@@ -159,17 +159,33 @@
   }
 
   private void logHolderChange(boolean holder) {
-    if (holder != wasHolder) {
-      wasHolder = holder;
+    if (holder == wasHolder) {
+      return;
+    }
+    wasHolder = holder;
+    String token = Long.toString(lease.token());
+    String holderName = lease.latest().map(DutyRecord::getHolder).orElse("-");
+    if (holder) {
+      LOG.log(
+          Level.INFO, "event=lease_acquired lease=duty token={0} holder={1}", token, holderName);
+    } else {
       LOG.log(
           Level.INFO,
-          "event={0} lease=duty token={1} holder={2}",
-          holder ? "lease_acquired" : "lease_lost",
-          Long.toString(lease.token()),
-          lease.latest().map(DutyRecord::getHolder).orElse("-"));
+          "event=lease_lost lease=duty token={0} holder={1} cause={2}",
+          token,
+          holderName,
+          lossCause());
     }
   }
 
+  private String lossCause() {
+    DualTimestamp now = clock.get();
+    return lease
+        .tenure()
+        .map(span -> span.clocksAgree(now) ? "expired" : "clocks_disagree")
+        .orElse("superseded");
+  }
+
   private void readLease() {
     control.onResult(store.snapshotReader().read(Topic.DUTY), this::onLeaseRead);
   }
