Reset calls with a fencing token when the lease of their sender ends

A call to the platform's fleet API checked the lease only immediately before the socket write and then stayed open for up to 1,500 ms, longer than the 700 ms margin of the lease. Its connection closed gracefully, so bytes that a cut or lossy link held back in the send buffer were delivered later, possibly after the first call of the next holder; so were those of a killed process.

PooledHttpClient.send now takes a CallAuthority with the remaining time instead of a check before the write. It looks at the authority at least every 100 ms, because timers are late by the time for which a VM was suspended, and closes the connection when the authority ends; a renewal extends an open call. FleetClient opens its own connections with SO_LINGER 0 (CloseMode.RESET), so that any close, also by SIGKILL, discards undelivered bytes. Store writes of the holder are conditional on the end offset and remain as they were.

FaultProxy drops bytes that it holds on a blocked link if their sender has reset the connection, and still delivers them after a graceful close.

On the previous code, 2 of the 3 tests of FleetClientTest failed: callHeldBackOnTheLinkDoesNotArriveAfterTheLease ("No value present": the platform had received and answered the call after the lease) and unansweredCallIsResetWhenTheLeaseEnds ("Expecting code to raise a throwable": the connection closed gracefully after 1.5 s). They pass now, as do PooledHttpClientTest (4), BadServerTest (27), EntryIntegrationTest (22) and PlatformBoundaryTest (3).

--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
@@ -371,9 +371,11 @@
   }
 
   private FleetApi.LeaseCredentials credentials() {
-    return new FleetApi.LeaseCredentials(
-        self.vm(),
-        lease.token(),
-        () -> !stopped && DualTimestamp.monotonicNowMs() < heldUntilMs.get());
+    return new FleetApi.LeaseCredentials(self.vm(), lease.token(), this::remainingMs);
+  }
+
+  private long remainingMs() {
+    long nowMs = DualTimestamp.monotonicNowMs();
+    return stopped ? 0 : Math.max(heldUntilMs.get(), nowMs) - nowMs;
   }
 }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/port/FleetApi.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/port/FleetApi.java
@@ -3,7 +3,7 @@
 import io.samphiregauge.core.result.Result;
 import io.samphiregauge.schema.gateway.SealedUsage;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 
 /**
  * Calls to the platform that only the holder of the duty lease makes.
@@ -18,10 +18,11 @@
    *
    * @param holder VM that holds the lease
    * @param token fencing token
-   * @param stillHeld returns whether the lease is still held; evaluated immediately before the call
-   *     is written, on the thread that writes it
+   * @param remainingMs returns the time until the end of the lease, in milliseconds, 0 or less
+   *     after it; called on the thread that writes the call, from immediately before the write
+   *     until the answer. A call without an answer is cancelled at the end of the lease
    */
-  public record LeaseCredentials(String holder, long token, BooleanSupplier stillHeld) {}
+  public record LeaseCredentials(String holder, long token, LongSupplier remainingMs) {}
 
   /**
    * An order of backend servers.
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
@@ -14,6 +14,7 @@
 import io.samphiregauge.gateway.GatewayView;
 import io.samphiregauge.gateway.port.Dialect;
 import io.samphiregauge.net.Address;
+import io.samphiregauge.net.CloseMode;
 import io.samphiregauge.net.HttpConnectionPool;
 import io.samphiregauge.net.PooledHttpClient;
 import io.samphiregauge.schema.gateway.EntrySettings;
@@ -77,7 +78,7 @@
     this.callbacks = callbacks;
     this.metrics = metrics;
     this.decisionLog = decisionLog;
-    this.connectionPool = new HttpConnectionPool(eventLoop, CONNECT_TIMEOUT_MS);
+    this.connectionPool = new HttpConnectionPool(eventLoop, CONNECT_TIMEOUT_MS, CloseMode.GRACEFUL);
     this.httpClient = new PooledHttpClient(eventLoop);
     this.crashDetector = new CrashDetector(this, callbacks.onServerCrash());
     Sampling randomSubset = Sampling.randomSubset(settings.getFailureDomain(), random);
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RetainedKvCache.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RetainedKvCache.java
@@ -45,7 +45,6 @@
                     EventLoopContext.parseAddress(kvSource.server().address()),
                     PooledHttpClient.Request.empty(
                         HttpMethod.DELETE, context.dialect().kvFreePath().apply(kvSource.handle())),
-                    FREE_TIMEOUT_MS,
-                    () -> true));
+                    FREE_TIMEOUT_MS));
   }
 }
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/HttpConnectionPool.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/HttpConnectionPool.java
@@ -38,6 +38,7 @@
 
   private final EventLoop loop;
   private final int connectTimeoutMs;
+  private final CloseMode closeMode;
   private final Map<Address, Deque<HttpConnection>> idle = new HashMap<>();
 
   /**
@@ -46,7 +47,7 @@
    * @param loop event loop of the connections; all methods must be called on it
    */
   public HttpConnectionPool(EventLoop loop) {
-    this(loop, DEFAULT_CONNECT_TIMEOUT_MS);
+    this(loop, DEFAULT_CONNECT_TIMEOUT_MS, CloseMode.GRACEFUL);
   }
 
   /**
@@ -54,10 +55,12 @@
    *
    * @param loop event loop of the connections; all methods must be called on it
    * @param connectTimeoutMs longest time to open a connection, in milliseconds
+   * @param closeMode how the connections close
    */
-  public HttpConnectionPool(EventLoop loop, int connectTimeoutMs) {
+  public HttpConnectionPool(EventLoop loop, int connectTimeoutMs, CloseMode closeMode) {
     this.loop = loop;
     this.connectTimeoutMs = connectTimeoutMs;
+    this.closeMode = closeMode;
   }
 
   /**
@@ -100,7 +103,9 @@
   }
 
   private void open(Address address, Consumer<Result<HttpConnection>> callback) {
-    new Bootstrap()
+    Bootstrap bootstrap = new Bootstrap();
+    closeMode.configure(bootstrap);
+    bootstrap
         .group(loop)
         .channel(NioSocketChannel.class)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/NetFailure.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/NetFailure.java
@@ -91,7 +91,7 @@
     }
   }
 
-  /** A request that was not sent, because the sender's lease no longer allowed it at the write. */
+  /** A request that was not sent, because the sender's authority had ended before the write. */
   record Withheld(String address) implements NetFailure {
     @Override
     public String type() {
@@ -100,7 +100,7 @@
 
     @Override
     public String message() {
-      return "The request to %s was not sent: the lease no longer allows it.".formatted(address);
+      return "The request to %s was not sent: its authority has ended.".formatted(address);
     }
   }
 }
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/PooledHttpClient.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/PooledHttpClient.java
@@ -17,9 +17,9 @@
 import java.io.ByteArrayOutputStream;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 
 /** Sends HTTP requests over pooled keep-alive connections, and buffers the whole response. */
 public final class PooledHttpClient {
@@ -31,17 +31,33 @@
    */
   private static final int MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
 
+  /**
+   * Longest time between two checks of a limited authority. The timers of the event loop are late
+   * by the time for which a VM was suspended, so the end of the authority alone is not enough.
+   */
+  private static final int AUTHORITY_CHECK_MS = 100;
+
   private final EventLoop loop;
   private final HttpConnectionPool pool;
 
   /**
-   * Creates a client with its own connection pool.
+   * Creates a client with its own connection pool, whose connections close gracefully.
    *
    * @param loop event loop of the connections; the client does not shut it down
    */
   public PooledHttpClient(EventLoop loop) {
+    this(loop, CloseMode.GRACEFUL);
+  }
+
+  /**
+   * Creates a client with its own connection pool.
+   *
+   * @param loop event loop of the connections; the client does not shut it down
+   * @param closeMode how the connections close
+   */
+  public PooledHttpClient(EventLoop loop, CloseMode closeMode) {
     this.loop = loop;
-    this.pool = new HttpConnectionPool(loop, CONNECT_TIMEOUT_MS);
+    this.pool = new HttpConnectionPool(loop, CONNECT_TIMEOUT_MS, closeMode);
   }
 
   /**
@@ -83,12 +99,27 @@
    * @param address address of the server
    * @param request the request
    * @param timeoutMs longest time until the response is complete, in milliseconds
-   * @param mayWrite called immediately before the socket write; false fails the request with {@link
-   *     NetFailure.Withheld}
    * @return the response with any status, or the reason why there is none
    */
   public CompletableFuture<Result<BufferedResponse>> send(
-      Address address, Request request, int timeoutMs, BooleanSupplier mayWrite) {
+      Address address, Request request, int timeoutMs) {
+    return send(address, request, timeoutMs, CallAuthority.UNLIMITED);
+  }
+
+  /**
+   * Sends a request that may be outstanding only while its sender has the authority for it.
+   * Thread-safe.
+   *
+   * @param address address of the server
+   * @param request the request
+   * @param timeoutMs longest time until the response is complete, in milliseconds
+   * @param authority limits the request: if it has ended before the socket write, the request fails
+   *     with {@link NetFailure.Withheld}; if it ends before the response is complete, the
+   *     connection closes and the request fails with {@link NetFailure.NoAnswer}
+   * @return the response with any status, or the reason why there is none
+   */
+  public CompletableFuture<Result<BufferedResponse>> send(
+      Address address, Request request, int timeoutMs, CallAuthority authority) {
     CompletableFuture<Result<BufferedResponse>> future = new CompletableFuture<>();
     loop.execute(
         () ->
@@ -97,7 +128,7 @@
                 true,
                 acquired ->
                     acquired.fold(
-                        connection -> startCall(connection, request, timeoutMs, mayWrite, future),
+                        connection -> startCall(connection, request, timeoutMs, authority, future),
                         failure -> future.complete(Result.failed(failure)))));
     return future;
   }
@@ -106,10 +137,10 @@
       HttpConnection connection,
       Request request,
       int timeoutMs,
-      BooleanSupplier mayWrite,
+      CallAuthority authority,
       CompletableFuture<Result<BufferedResponse>> future) {
     Address address = connection.address();
-    if (!mayWrite.getAsBoolean()) {
+    if (hasEnded(authority)) {
       connection.abandon();
       return future.complete(Result.failed(new NetFailure.Withheld(address.toString())));
     }
@@ -118,22 +149,68 @@
         toHttpRequest(address, request),
         new ResponseListener(
             collector::add, () -> {}, failure -> future.complete(Result.failed(failure))));
-    var timer =
-        loop.schedule(
-            () -> {
-              if (future.complete(Result.failed(timedOut(address, timeoutMs)))) {
-                connection.abandon();
-                pool.closeIdle(address);
-              }
-            },
-            timeoutMs,
-            TimeUnit.MILLISECONDS);
-    future.whenComplete((result, thrown) -> timer.cancel(false));
+    long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
+    scheduleLimitCheck(new OpenCall(connection, timeoutMs, deadlineNanos, authority, future));
     return true;
   }
 
-  private static NetFailure timedOut(Address address, int timeoutMs) {
-    return new NetFailure.NoAnswer(address.toString(), "no response within " + timeoutMs + " ms");
+  /** A request that was written and whose response is not complete. */
+  private record OpenCall(
+      HttpConnection connection,
+      int timeoutMs,
+      long deadlineNanos,
+      CallAuthority authority,
+      CompletableFuture<Result<BufferedResponse>> future) {
+    long untilTimeoutNanos() {
+      return deadlineNanos - System.nanoTime();
+    }
+
+    /** Returns the time until the next check of the timeout and the authority. */
+    long untilCheckNanos() {
+      OptionalLong remainingMs = authority.remainingMs();
+      if (remainingMs.isEmpty()) {
+        return untilTimeoutNanos();
+      }
+      long authorityCheckMs = Math.min(remainingMs.getAsLong(), AUTHORITY_CHECK_MS);
+      return Math.min(untilTimeoutNanos(), TimeUnit.MILLISECONDS.toNanos(authorityCheckMs));
+    }
+
+    Optional<String> exceededLimit() {
+      if (hasEnded(authority)) {
+        return Optional.of("no response before the end of the sender's authority");
+      }
+      return untilTimeoutNanos() <= 0
+          ? Optional.of("no response within " + timeoutMs + " ms")
+          : Optional.empty();
+    }
+  }
+
+  private static boolean hasEnded(CallAuthority authority) {
+    OptionalLong remainingMs = authority.remainingMs();
+    return remainingMs.isPresent() && remainingMs.getAsLong() <= 0;
+  }
+
+  private void scheduleLimitCheck(OpenCall call) {
+    if (call.future().isDone()) {
+      return;
+    }
+    var timer =
+        loop.schedule(() -> checkLimits(call), call.untilCheckNanos(), TimeUnit.NANOSECONDS);
+    call.future().whenComplete((result, thrown) -> timer.cancel(false));
+  }
+
+  private void checkLimits(OpenCall call) {
+    Optional<String> exceeded = call.exceededLimit();
+    if (exceeded.isEmpty()) {
+      scheduleLimitCheck(call);
+      return;
+    }
+    Address address = call.connection().address();
+    NetFailure failure = new NetFailure.NoAnswer(address.toString(), exceeded.orElseThrow());
+    if (call.future().complete(Result.failed(failure))) {
+      call.connection().abandon();
+      pool.closeIdle(address);
+    }
   }
 
   private static NetFailure tooLarge(Address address) {
