--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
@@ -404,14 +404,17 @@
 
   private FleetApi.LeaseCredentials credentials() {
     long token = lease.token();
-    return new FleetApi.LeaseCredentials(self.vm(), token, () -> !stopped && isHeld(token));
+    return new FleetApi.LeaseCredentials(self.vm(), token, () -> remainingMs(token));
   }
 
-  /** Returns whether this entry holds the lease with a token. Thread-safe. */
-  private boolean isHeld(long token) {
-    return tenure
-        .get()
-        .filter(span -> span.token() == token && span.remainingMs(clock.get()) > 0)
-        .isPresent();
+  /** Returns the time for which this entry may act with a token. Thread-safe. */
+  private long remainingMs(long token) {
+    return stopped
+        ? 0
+        : tenure
+            .get()
+            .filter(span -> span.token() == token)
+            .map(span -> span.remainingMs(clock.get()))
+            .orElse(0L);
   }
 }
--- a/samphiregauge-gateway/src/test/java/io/samphiregauge/gateway/control/DutyWorkerTest.java
+++ b/samphiregauge-gateway/src/test/java/io/samphiregauge/gateway/control/DutyWorkerTest.java
@@ -109,7 +109,7 @@
     return respond(
         vm,
         () -> {
-          if (!credentials.stillHeld().getAsBoolean()) {
+          if (credentials.remainingMs().getAsLong() <= 0) {
             return Result.failed(new NetFailure.Withheld("platform"));
           }
           calls.add(new PlatformCall(credentials.holder(), credentials.token(), time.nowMs()));
