Count small parts of a buffered response by their overhead

A server that sends 4-byte chunks without end was cut only after 4 MB, a million parts, which kept the event loop busy until the deadline. A part now counts for at least 64 bytes, so such a response ends after 65,536 parts.

--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServerResponse.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServerResponse.java
@@ -13,6 +13,12 @@
   private static final int MISDIRECTED = 421;
   private static final String EVENT_STREAM = "text/event-stream";
 
+  /**
+   * Bytes that a part counts for at least. A server that sends chunks of a few bytes without end
+   * would otherwise keep the event loop busy for long before it reaches the limits.
+   */
+  private static final int MIN_PART_BYTES = 64;
+
   private final HttpResponse head;
   private final ResponseMeta meta;
   private final ByteBuf body;
@@ -34,12 +40,16 @@
    * @return whether the body is within its limits; if not, nothing was appended
    */
   boolean append(ByteBuf bytes) {
-    int count = bytes.readableBytes();
-    if (!budget.tryReserve(count, reservedBytes)) {
+    int length = bytes.readableBytes();
+    if (length == 0) {
+      return true;
+    }
+    int reserved = Math.max(length, MIN_PART_BYTES);
+    if (!budget.tryReserve(reserved, reservedBytes)) {
       return false;
     }
-    reservedBytes += count;
-    body.writeBytes(bytes, bytes.readerIndex(), count);
+    reservedBytes += reserved;
+    body.writeBytes(bytes, bytes.readerIndex(), length);
     return true;
   }
 
