Use DualTimestamp for the time of coordinator events

ClockReading had the same two components; the lease and freshness checks need the arithmetic of DualTimestamp. No change of behaviour: CoordinatorTest, GoldenSessionTest and MultiEntryTest pass.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/control/Coordinator.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/control/Coordinator.java
@@ -1,5 +1,6 @@
 package io.samphiregauge.core.control;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.RandomSource;
 import io.samphiregauge.core.Step;
 import io.samphiregauge.core.lease.LeaseAgent;
@@ -52,7 +53,7 @@
    * @param now current time
    * @return the coordinator; it requests its first tick immediately
    */
-  public static Coordinator create(CoordinatorConfig config, ClockReading now) {
+  public static Coordinator create(CoordinatorConfig config, DualTimestamp now) {
     Objects.requireNonNull(config, "config");
     String region = config.joined().getRegion();
     ControlState.TaskState taskState =
@@ -100,7 +101,7 @@
    * @return the next coordinator, and the actions to perform
    */
   public Step<Coordinator, CoordinatorAction> handle(
-      CoordinatorEvent event, ClockReading now, RandomSource random) {
+      CoordinatorEvent event, DualTimestamp now, RandomSource random) {
     return new CoordinatorEventHandler(config, controlState, now, random).handle(event);
   }
 
@@ -110,7 +111,7 @@
    * @param now current time
    * @return time on the monotonic clock, in milliseconds
    */
-  public long deadlineMs(ClockReading now) {
+  public long deadlineMs(DualTimestamp now) {
     return Deadlines.nextTickMs(controlState, now);
   }
 
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/control/CoordinatorEventHandler.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/control/CoordinatorEventHandler.java
@@ -1,5 +1,6 @@
 package io.samphiregauge.core.control;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.RandomSource;
 import io.samphiregauge.core.Step;
 import io.samphiregauge.core.lease.LeaseEvent;
@@ -15,7 +16,7 @@
   private final StepContext context;
 
   CoordinatorEventHandler(
-      CoordinatorConfig config, ControlState initialState, ClockReading now, RandomSource random) {
+      CoordinatorConfig config, ControlState initialState, DualTimestamp now, RandomSource random) {
     this.context = new StepContext(config, initialState, now, random);
   }
 
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/control/Deadlines.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/control/Deadlines.java
@@ -1,12 +1,13 @@
 package io.samphiregauge.core.control;
 
+import io.samphiregauge.core.DualTimestamp;
 import java.util.OptionalLong;
 
 /** Computes when a coordinator next needs a tick. */
 final class Deadlines {
   private Deadlines() {}
 
-  static long nextTickMs(ControlState controlState, ClockReading now) {
+  static long nextTickMs(ControlState controlState, DualTimestamp now) {
     long deadlineMs = controlState.membership().deadlineMs();
     deadlineMs = min(deadlineMs, controlState.logWriter().deadlineMs());
     deadlineMs = min(deadlineMs, controlState.fleetLease().deadlineMs());
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/control/StepContext.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/control/StepContext.java
@@ -1,5 +1,6 @@
 package io.samphiregauge.core.control;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.RandomSource;
 import io.samphiregauge.core.Step;
 import io.samphiregauge.core.lease.LeaseAction;
@@ -35,7 +36,7 @@
  */
 final class StepContext {
   final CoordinatorConfig config;
-  final ClockReading now;
+  final DualTimestamp now;
   final RandomSource random;
   final List<CoordinatorAction> actions = new ArrayList<>();
   LogReader logReader;
@@ -54,7 +55,7 @@
   ControlState.TaskState taskState;
 
   StepContext(
-      CoordinatorConfig config, ControlState initialState, ClockReading now, RandomSource random) {
+      CoordinatorConfig config, ControlState initialState, DualTimestamp now, RandomSource random) {
     this.config = config;
     this.now = now;
     this.random = random;
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/control/CoordinatorSimulation.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/control/CoordinatorSimulation.java
@@ -1,5 +1,6 @@
 package io.samphiregauge.core.control;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.Step;
 import io.samphiregauge.core.log.LogWriter;
 import io.samphiregauge.core.order.OrderEvent;
@@ -85,8 +86,8 @@
     }
   }
 
-  private ClockReading now() {
-    return new ClockReading(nowMs, WALL_MS + nowMs);
+  private DualTimestamp now() {
+    return new DualTimestamp(nowMs, WALL_MS + nowMs);
   }
 
   private void runVm(String vm) {
--- a/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/ControlLoop.java
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/ControlLoop.java
@@ -1,9 +1,9 @@
 package io.samphiregauge.daemon;
 
 import io.samphiregauge.core.Clock;
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.RandomSource;
 import io.samphiregauge.core.Step;
-import io.samphiregauge.core.control.ClockReading;
 import io.samphiregauge.core.control.Coordinator;
 import io.samphiregauge.core.control.CoordinatorAction;
 import io.samphiregauge.core.control.CoordinatorConfig;
@@ -113,7 +113,7 @@
     return step.state();
   }
 
-  private ClockReading now() {
-    return new ClockReading(clock.nowMs(), System.currentTimeMillis());
+  private DualTimestamp now() {
+    return new DualTimestamp(clock.nowMs(), System.currentTimeMillis());
   }
 }
