End the leases of the coordinator by both clocks

A resumed VM could send orders and usage reports under a lease that another entry had claimed while it was suspended.

Cause: LeaseAgent counted its lease on the monotonic clock alone, which stands still while a VM is suspended.

Change: the first send time of a lease record is a DualTimestamp, and the lease is valid only while both clocks agree within 200 ms about the time since then. OrderClient reads both clocks on the sending thread, so the check holds also if the control thread has not run since the VM was resumed, and a record that was sent before a suspension and is read after it gives no validity. A claimant still counts by the monotonic clock alone, so a wall clock that is set forward makes no claim early. DutyLease uses the same arithmetic.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/DualTimestamp.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/DualTimestamp.java
@@ -13,6 +13,9 @@
   public static final DualTimestamp NEVER =
       new DualTimestamp(Long.MIN_VALUE / 2, Long.MIN_VALUE / 2);
 
+  /** Deviation of the two clocks above which one of them was set or the VM was suspended. */
+  private static final long MAX_DEVIATION_MS = 200;
+
   private static final long NANOS_PER_MS = 1_000_000;
 
   /** Returns the current time of both clocks. */
@@ -44,4 +47,20 @@
   public long millisSince(DualTimestamp earlier) {
     return Math.max(monotonicMs - earlier.monotonicMs, wallMs - earlier.wallMs);
   }
+
+  /**
+   * Returns how much is left of a time span at this time.
+   *
+   * @param since start of the span
+   * @param durationMs length of the span, in milliseconds
+   * @return milliseconds; 0 if the span has ended or the clocks disagree about the elapsed time
+   */
+  public long remainingMs(DualTimestamp since, long durationMs) {
+    long elapsedMonotonicMs = monotonicMs - since.monotonicMs;
+    long elapsedWallMs = wallMs - since.wallMs;
+    if (Math.abs(elapsedWallMs - elapsedMonotonicMs) > MAX_DEVIATION_MS) {
+      return 0;
+    }
+    return Math.max(0, durationMs - millisSince(since));
+  }
 }
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/control/LogReadHandler.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/control/LogReadHandler.java
@@ -1,5 +1,6 @@
 package io.samphiregauge.core.control;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.Step;
 import io.samphiregauge.core.lease.LeaseEvent;
 import io.samphiregauge.core.log.CheckpointSchedule;
@@ -22,6 +23,7 @@
 import io.samphiregauge.schema.record.ProcessState;
 import io.samphiregauge.schema.record.UsageSealed;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /** Passes records from the log or from a peer to all components. */
@@ -84,9 +86,9 @@
     LogRecord logRecord = folded.recordAt().getRecord();
     long offset = folded.recordAt().getOffset();
     boolean own = logRecord.getWriter().equals(context.self());
-    OptionalLong sentMs =
-        own ? context.logWriter.firstSentMs(logRecord.getSequence()) : OptionalLong.empty();
-    LeaseEvent leaseEvent = new LeaseEvent.Read(offset, logRecord, folded.accepted(), sentMs);
+    Optional<DualTimestamp> sentAt =
+        own ? context.logWriter.firstSentAt(logRecord.getSequence()) : Optional.empty();
+    LeaseEvent leaseEvent = new LeaseEvent.Read(offset, logRecord, folded.accepted(), sentAt);
     context.updateLeases(leaseEvent, leaseEvent);
     context.recordRelay = context.recordRelay.withRecord(folded.recordAt());
     folded
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/control/PeriodicTasks.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/control/PeriodicTasks.java
@@ -38,7 +38,7 @@
   static void performDueTasks(StepContext context) {
     updateCandidacy(context);
     long nowMs = context.now.monotonicMs();
-    OptionalLong token = context.fleetLease.token(nowMs);
+    OptionalLong token = context.fleetLease.token(context.now);
     recordEndedProcesses(context, token);
     if (token.isPresent()) {
       context
@@ -55,7 +55,7 @@
             ? context.config.desiredChanges().compute(context.state(), nowMs)
             : List.of();
     context.updateOrderer(new OrderEvent.Tick(context.state(), token, desiredChanges));
-    OptionalLong usageToken = context.usageLease.token(nowMs);
+    OptionalLong usageToken = context.usageLease.token(context.now);
     context.updateUsageReporter(
         new UsageEvent.Tick(context.state(), usageToken, context.now.wallMs()));
     rebalancePieces(context, token);
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/control/StepContext.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/control/StepContext.java
@@ -118,16 +118,16 @@
   }
 
   void updateLogWriter(LogWriter.Event event) {
-    Step<LogWriter, LogWriter.Append> step = logWriter.handle(event, now.monotonicMs(), random);
+    Step<LogWriter, LogWriter.Append> step = logWriter.handle(event, now, random);
     logWriter = step.state();
     step.actions().forEach(append -> actions.add(new CoordinatorAction.Append(append)));
   }
 
   void updateLeases(LeaseEvent fleetEvent, LeaseEvent usageEvent) {
-    Step<LeaseAgent, LeaseAction> fleetStep = fleetLease.handle(fleetEvent, now.monotonicMs());
+    Step<LeaseAgent, LeaseAction> fleetStep = fleetLease.handle(fleetEvent, now);
     fleetLease = fleetStep.state();
     fleetStep.actions().forEach(action -> translate(fleetLease.role(), action));
-    Step<LeaseAgent, LeaseAction> usageStep = usageLease.handle(usageEvent, now.monotonicMs());
+    Step<LeaseAgent, LeaseAction> usageStep = usageLease.handle(usageEvent, now);
     usageLease = usageStep.state();
     usageStep.actions().forEach(action -> translate(usageLease.role(), action));
   }
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/duty/DutyLease.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/duty/DutyLease.java
@@ -50,9 +50,6 @@
    * @param durationMs length of the span, in milliseconds
    */
   public record Tenure(long token, DualTimestamp since, long durationMs) {
-    /** Deviation of the two clocks above which one of them was set or the VM was suspended. */
-    private static final long MAX_CLOCK_DEVIATION_MS = 200;
-
     /**
      * Returns the time for which this process may still act.
      *
@@ -60,12 +57,7 @@
      * @return milliseconds; 0 if the span has ended or the clocks disagree about its length
      */
     public long remainingMs(DualTimestamp now) {
-      long monotonicMs = now.monotonicMs() - since.monotonicMs();
-      long wallMs = now.wallMs() - since.wallMs();
-      if (Math.abs(wallMs - monotonicMs) > MAX_CLOCK_DEVIATION_MS) {
-        return 0;
-      }
-      return Math.max(0, durationMs - now.millisSince(since));
+      return now.remainingMs(since, durationMs);
     }
   }
 
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/lease/LeaseAgent.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/lease/LeaseAgent.java
@@ -1,5 +1,6 @@
 package io.samphiregauge.core.lease;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.Step;
 import io.samphiregauge.schema.RecordBody;
 import io.samphiregauge.schema.record.Incarnation;
@@ -16,18 +17,21 @@
  * Claims, renews and releases the lease of one role for one process; immutable.
  *
  * <pre>{@code
- * Step<LeaseAgent, LeaseAction> step = agent.handle(new LeaseEvent.Tick(), nowMs);
- * if (step.state().mayAct(nowMs)) { ... }
+ * Step<LeaseAgent, LeaseAction> step = agent.handle(new LeaseEvent.Tick(), now);
+ * if (step.state().mayAct(now)) { ... }
  * }</pre>
  *
- * <p>All times are on the monotonic clock of the process, in milliseconds.
+ * <p>The monotonic clock stops while a VM is suspended, and the wall clock may be set. A process
+ * therefore holds the lease only while both clocks agree about the time since the lease record was
+ * sent, and counts the time before a claim on the monotonic clock alone, which never runs ahead.
+ * Times in milliseconds are on the monotonic clock.
  *
  * @param role role of the lease
  * @param self incarnation of the process
  * @param lastLease state of the lease after the last accepted lease record
  * @param lastReadMs time at which this process handled that record, which is after its append
- * @param validUntilMs end of the lease of this process; only meaningful while {@code lastLease}
- *     names this process as holder
+ * @param validity span in which this process may use the lease; empty if the last lease record was
+ *     written by another process or its send time is unknown
  * @param writePending whether a lease record of this process has not been read back yet
  * @param renewAtMs time of the next renewal
  * @param eligible whether the process may claim and renew the lease
@@ -41,7 +45,7 @@
     Incarnation self,
     Optional<LeaseState> lastLease,
     long lastReadMs,
-    long validUntilMs,
+    Optional<LeaseValidity> validity,
     boolean writePending,
     long renewAtMs,
     boolean eligible,
@@ -65,7 +69,7 @@
         self,
         Optional.empty(),
         Long.MIN_VALUE,
-        Long.MIN_VALUE,
+        Optional.empty(),
         false,
         Long.MAX_VALUE,
         false,
@@ -78,40 +82,38 @@
    * Handles an event.
    *
    * @param event the event
-   * @param nowMs current time
+   * @param now current time
    * @return the next agent, and the actions to perform
    */
-  public Step<LeaseAgent, LeaseAction> handle(LeaseEvent event, long nowMs) {
-    LeaseAgent updated = apply(event, nowMs);
-    Step<LeaseAgent, LeaseAction> announced = updated.announceChange(nowMs);
+  public Step<LeaseAgent, LeaseAction> handle(LeaseEvent event, DualTimestamp now) {
+    LeaseAgent updated = apply(event, now);
+    Step<LeaseAgent, LeaseAction> announced = updated.announceChange(now);
     if (event instanceof LeaseEvent.Read || event instanceof LeaseEvent.Restored) {
       // More records of the same page may follow, so due records are written at the next tick.
       return announced;
     }
-    return announced.state().writeIfDue(nowMs).prepend(announced.actions());
+    return announced.state().writeIfDue(now).prepend(announced.actions());
   }
 
   /**
    * Returns whether an action under the lease may start. Check it immediately before the socket
    * write.
    *
-   * @param nowMs current time
+   * @param now current time
    * @return true while the lease is held and valid for at least {@link LeaseTimes#ACTION_GUARD_MS}
    */
-  public boolean mayAct(long nowMs) {
-    return isHeld(nowMs) && nowMs + LeaseTimes.ACTION_GUARD_MS <= validUntilMs;
+  public boolean mayAct(DualTimestamp now) {
+    return isHeld(now) && remainingMs(now) >= LeaseTimes.ACTION_GUARD_MS;
   }
 
   /**
    * Returns the fencing token of the held lease.
    *
-   * @param nowMs current time
+   * @param now current time
    * @return the token, or empty if {@link #mayAct} returns false
    */
-  public OptionalLong token(long nowMs) {
-    return mayAct(nowMs)
-        ? OptionalLong.of(lastLease.orElseThrow().getToken())
-        : OptionalLong.empty();
+  public OptionalLong token(DualTimestamp now) {
+    return mayAct(now) ? OptionalLong.of(lastLease.orElseThrow().getToken()) : OptionalLong.empty();
   }
 
   /**
@@ -122,15 +124,16 @@
   public OptionalLong deadlineMs() {
     if (announcedToken.isPresent()) {
       boolean willRenew = eligible && !writePending;
-      return OptionalLong.of(willRenew ? Math.min(renewAtMs, validUntilMs) : validUntilMs);
+      long endMs = validity.map(LeaseValidity::endMs).orElse(Long.MIN_VALUE);
+      return OptionalLong.of(willRenew ? Math.min(renewAtMs, endMs) : endMs);
     }
     boolean willClaim = eligible && !writePending && !resigned;
     return willClaim ? OptionalLong.of(claimAtMs()) : OptionalLong.empty();
   }
 
-  private LeaseAgent apply(LeaseEvent event, long nowMs) {
+  private LeaseAgent apply(LeaseEvent event, DualTimestamp now) {
     if (event instanceof LeaseEvent.Read read) {
-      return applyRead(read, nowMs);
+      return applyRead(read, now);
     }
     if (event instanceof LeaseEvent.Candidacy candidacy) {
       return withCandidacy(candidacy.eligible(), candidacy.claimDelayMs());
@@ -139,12 +142,12 @@
       // The records before the restored state were not read and may include lease records of this
       // process. Their first send times are unknown, so the lease does not count as held. A pending
       // write may be among them, so none counts as pending.
-      return withLease(restored.lease(), nowMs, Long.MIN_VALUE, false);
+      return withLease(restored.lease(), now.monotonicMs(), Optional.empty(), false);
     }
     return event instanceof LeaseEvent.Resign ? withResigned() : this;
   }
 
-  private LeaseAgent applyRead(LeaseEvent.Read read, long nowMs) {
+  private LeaseAgent applyRead(LeaseEvent.Read read, DualTimestamp now) {
     LogRecord logRecord = read.logRecord();
     if (!isForRole(logRecord.getBody())) {
       return this;
@@ -152,25 +155,23 @@
     boolean own = logRecord.getWriter().equals(self);
     boolean stillPending = writePending && !own;
     if (!read.accepted()) {
-      return withLease(lastLease, lastReadMs, validUntilMs, stillPending);
+      return withLease(lastLease, lastReadMs, validity, stillPending);
     }
-    long untilMs = own ? computeValidUntilMs(read) : Long.MIN_VALUE;
-    return withLease(leaseAfter(read), nowMs, untilMs, stillPending);
+    Optional<LeaseValidity> nextValidity = own ? validityAfter(read) : Optional.empty();
+    return withLease(leaseAfter(read), now.monotonicMs(), nextValidity, stillPending);
   }
 
   /**
-   * Returns the end of the validity, which is counted from the first send, because the append may
-   * take effect at any time after it. Without a known send time the lease is not valid.
+   * Returns the validity, which is counted from the first send, because the append may take effect
+   * at any time after it. Without a known send time the lease is not valid.
    */
-  private long computeValidUntilMs(LeaseEvent.Read read) {
-    if (read.firstSentMs().isEmpty()) {
-      return Long.MIN_VALUE;
-    }
+  private Optional<LeaseValidity> validityAfter(LeaseEvent.Read read) {
     long durationMs =
         read.logRecord().getBody() instanceof LeaseClaim claim
             ? claim.getDurationMs()
             : lastLease.map(LeaseState::getDurationMs).orElse(0L);
-    return read.firstSentMs().getAsLong() + LeaseTimes.holderDurationMs(durationMs);
+    return read.firstSentAt()
+        .map(sentAt -> new LeaseValidity(sentAt, LeaseTimes.holderDurationMs(durationMs)));
   }
 
   private Optional<LeaseState> leaseAfter(LeaseEvent.Read read) {
@@ -207,13 +208,17 @@
         .isPresent();
   }
 
-  private boolean isHeld(long nowMs) {
-    return isHolder() && !resigned && nowMs < validUntilMs;
+  private boolean isHeld(DualTimestamp now) {
+    return isHolder() && !resigned && remainingMs(now) > 0;
+  }
+
+  private long remainingMs(DualTimestamp now) {
+    return validity.map(span -> span.remainingMs(now)).orElse(0L);
   }
 
-  private Step<LeaseAgent, LeaseAction> announceChange(long nowMs) {
+  private Step<LeaseAgent, LeaseAction> announceChange(DualTimestamp now) {
     OptionalLong heldToken =
-        isHeld(nowMs) ? OptionalLong.of(lastLease.orElseThrow().getToken()) : OptionalLong.empty();
+        isHeld(now) ? OptionalLong.of(lastLease.orElseThrow().getToken()) : OptionalLong.empty();
     if (heldToken.equals(announcedToken)) {
       return Step.to(this);
     }
@@ -228,39 +233,39 @@
         : new Step<>(next, lost);
   }
 
-  private Step<LeaseAgent, LeaseAction> writeIfDue(long nowMs) {
+  private Step<LeaseAgent, LeaseAction> writeIfDue(DualTimestamp now) {
     if (writePending) {
       return Step.to(this);
     }
     if (isHolder()) {
-      return renewOrRelease(nowMs);
+      return renewOrRelease(now);
     }
-    if (!eligible || resigned || nowMs < claimAtMs()) {
+    if (!eligible || resigned || now.monotonicMs() < claimAtMs()) {
       return Step.to(this);
     }
     long supersedes = lastLease.map(LeaseState::getLastOffset).orElse(NO_OFFSET);
-    return withWrite(new LeaseClaim(role, supersedes, LeaseTimes.DURATION_MS), nowMs);
+    return withWrite(new LeaseClaim(role, supersedes, LeaseTimes.DURATION_MS), now);
   }
 
-  private Step<LeaseAgent, LeaseAction> renewOrRelease(long nowMs) {
+  private Step<LeaseAgent, LeaseAction> renewOrRelease(DualTimestamp now) {
     long token = lastLease.orElseThrow().getToken();
     if (resigned) {
-      return withWrite(new LeaseRelease(role, token), nowMs);
+      return withWrite(new LeaseRelease(role, token), now);
     }
-    boolean renewalDue = nowMs >= renewAtMs || nowMs >= validUntilMs;
-    return renewalDue && eligible ? withWrite(new LeaseRenewal(role, token), nowMs) : Step.to(this);
+    boolean renewalDue = now.monotonicMs() >= renewAtMs || remainingMs(now) == 0;
+    return renewalDue && eligible ? withWrite(new LeaseRenewal(role, token), now) : Step.to(this);
   }
 
-  private Step<LeaseAgent, LeaseAction> withWrite(RecordBody body, long nowMs) {
+  private Step<LeaseAgent, LeaseAction> withWrite(RecordBody body, DualTimestamp now) {
     LeaseAgent next =
         new LeaseAgent(
             role,
             self,
             lastLease,
             lastReadMs,
-            validUntilMs,
+            validity,
             true,
-            nowMs + LeaseTimes.RENEWAL_PERIOD_MS,
+            now.monotonicMs() + LeaseTimes.RENEWAL_PERIOD_MS,
             eligible,
             claimDelayMs,
             resigned,
@@ -282,13 +287,16 @@
   }
 
   private LeaseAgent withLease(
-      Optional<LeaseState> nextLease, long readMs, long untilMs, boolean stillPending) {
+      Optional<LeaseState> nextLease,
+      long readMs,
+      Optional<LeaseValidity> nextValidity,
+      boolean stillPending) {
     return new LeaseAgent(
         role,
         self,
         nextLease,
         readMs,
-        untilMs,
+        nextValidity,
         stillPending,
         renewAtMs,
         eligible,
@@ -303,7 +311,7 @@
         self,
         lastLease,
         lastReadMs,
-        validUntilMs,
+        validity,
         writePending,
         renewAtMs,
         nextEligible,
@@ -318,7 +326,7 @@
         self,
         lastLease,
         lastReadMs,
-        validUntilMs,
+        validity,
         writePending,
         renewAtMs,
         false,
@@ -333,7 +341,7 @@
         self,
         lastLease,
         lastReadMs,
-        validUntilMs,
+        validity,
         writePending,
         renewAtMs,
         eligible,
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/lease/LeaseEvent.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/lease/LeaseEvent.java
@@ -1,9 +1,9 @@
 package io.samphiregauge.core.lease;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.schema.record.LeaseState;
 import io.samphiregauge.schema.record.LogRecord;
 import java.util.Optional;
-import java.util.OptionalLong;
 
 /** Input event of a {@link LeaseAgent}. */
 public sealed interface LeaseEvent {
@@ -25,10 +25,11 @@
    * @param offset offset of the record
    * @param logRecord the record
    * @param accepted whether the fold accepted the record
-   * @param firstSentMs clock reading taken before the record was first sent; empty if another
-   *     process sent it
+   * @param firstSentAt time taken before the record was first sent; empty if another process sent
+   *     it
    */
-  record Read(long offset, LogRecord logRecord, boolean accepted, OptionalLong firstSentMs)
+  record Read(
+      long offset, LogRecord logRecord, boolean accepted, Optional<DualTimestamp> firstSentAt)
       implements LeaseEvent {}
 
   /**
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/log/LogWriter.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/log/LogWriter.java
@@ -1,5 +1,6 @@
 package io.samphiregauge.core.log;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.RandomSource;
 import io.samphiregauge.core.Step;
 import io.samphiregauge.schema.RecordBody;
@@ -7,6 +8,7 @@
 import io.samphiregauge.schema.record.LogRecord;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /**
@@ -47,11 +49,12 @@
    * A record that has not been read back from the log yet.
    *
    * @param record the record
-   * @param firstSentMs time at which the record was first sent, or empty if it has not been sent
+   * @param firstSentAt time at which the record was first sent, or empty if it has not been sent
    *     yet
    * @param acknowledged whether the log has acknowledged that the record is stored
    */
-  public record Pending(LogRecord record, OptionalLong firstSentMs, boolean acknowledged) {}
+  public record Pending(
+      LogRecord record, Optional<DualTimestamp> firstSentAt, boolean acknowledged) {}
 
   /**
    * A call that appends records. The caller must send them in order, each one only after the one
@@ -102,7 +105,7 @@
   public LogWriter enqueue(RecordBody body) {
     List<Pending> extended = new ArrayList<>(pending);
     LogRecord record = new LogRecord(writer, nextSequence, body);
-    extended.add(new Pending(record, OptionalLong.empty(), false));
+    extended.add(new Pending(record, Optional.empty(), false));
     return new LogWriter(
         writer, nextSequence + 1, extended, callId, callDeadlineMs, failures, retryAtMs);
   }
@@ -114,13 +117,13 @@
    * @param sequence sequence number of the record
    * @return the time, or empty if the record is not pending or has not been sent yet
    */
-  public OptionalLong firstSentMs(long sequence) {
+  public Optional<DualTimestamp> firstSentAt(long sequence) {
     for (Pending candidate : pending) {
       if (candidate.record().getSequence() == sequence) {
-        return candidate.firstSentMs();
+        return candidate.firstSentAt();
       }
     }
-    return OptionalLong.empty();
+    return Optional.empty();
   }
 
   /**
@@ -139,12 +142,13 @@
    * Handles an event.
    *
    * @param event the event
-   * @param nowMs current monotonic time
+   * @param now current time
    * @param random source of the retry jitter
    * @return the next writer and the calls to make
    */
-  public Step<LogWriter, Append> handle(Event event, long nowMs, RandomSource random) {
-    return applyEvent(event, nowMs, random).expireCall(nowMs, random).sendBatch(nowMs);
+  public Step<LogWriter, Append> handle(Event event, DualTimestamp now, RandomSource random) {
+    long nowMs = now.monotonicMs();
+    return applyEvent(event, nowMs, random).expireCall(nowMs, random).sendBatch(now);
   }
 
   private LogWriter applyEvent(Event event, long nowMs, RandomSource random) {
@@ -167,15 +171,15 @@
     return closeCall(pending, failures + 1, nowMs + backoffMs(random));
   }
 
-  private Step<LogWriter, Append> sendBatch(long nowMs) {
+  private Step<LogWriter, Append> sendBatch(DualTimestamp now) {
     List<Pending> batch = unacknowledged();
-    if (callDeadlineMs.isPresent() || batch.isEmpty() || nowMs < retryAtMs) {
+    if (callDeadlineMs.isPresent() || batch.isEmpty() || now.monotonicMs() < retryAtMs) {
       return Step.to(this);
     }
     long lastSequence = batch.get(batch.size() - 1).record().getSequence();
     List<Pending> marked =
         pending.stream()
-            .map(p -> p.record().getSequence() <= lastSequence ? markSent(p, nowMs) : p)
+            .map(p -> p.record().getSequence() <= lastSequence ? markSent(p, now) : p)
             .toList();
     LogWriter next =
         new LogWriter(
@@ -183,15 +187,14 @@
             nextSequence,
             marked,
             callId + 1,
-            OptionalLong.of(nowMs + CALL_TIMEOUT_MS),
+            OptionalLong.of(now.monotonicMs() + CALL_TIMEOUT_MS),
             failures,
             retryAtMs);
     return Step.to(next, new Append(callId + 1, batch.stream().map(Pending::record).toList()));
   }
 
-  private static Pending markSent(Pending original, long nowMs) {
-    OptionalLong firstSent =
-        original.firstSentMs().isPresent() ? original.firstSentMs() : OptionalLong.of(nowMs);
+  private static Pending markSent(Pending original, DualTimestamp now) {
+    Optional<DualTimestamp> firstSent = original.firstSentAt().or(() -> Optional.of(now));
     return new Pending(original.record(), firstSent, original.acknowledged());
   }
 
@@ -201,7 +204,7 @@
    */
   private List<Pending> acknowledgeSent() {
     return pending.stream()
-        .map(p -> new Pending(p.record(), p.firstSentMs(), p.firstSentMs().isPresent()))
+        .map(p -> new Pending(p.record(), p.firstSentAt(), p.firstSentAt().isPresent()))
         .toList();
   }
 
@@ -210,7 +213,7 @@
     List<Pending> remaining =
         pending.stream().filter(p -> p.record().getSequence() > sequence).toList();
     boolean allStored =
-        remaining.stream().noneMatch(p -> p.firstSentMs().isPresent() && !p.acknowledged());
+        remaining.stream().noneMatch(p -> p.firstSentAt().isPresent() && !p.acknowledged());
     if (callDeadlineMs.isPresent() && allStored) {
       return closeCall(remaining, 0, nowMs);
     }
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/control/CoordinatorSimulation.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/control/CoordinatorSimulation.java
@@ -39,6 +39,7 @@
   final List<LogRecord> log = new ArrayList<>();
   final Map<String, Coordinator> coordinators = new TreeMap<>();
   final Set<String> pausedVms = new HashSet<>();
+  final Set<String> suspendedVms = new HashSet<>();
   final Set<String> vmsWithoutLog = new HashSet<>();
   final Set<Set<String>> cutLinks = new HashSet<>();
   final List<CoordinatorAction.SendOrder> orders = new ArrayList<>();
@@ -48,6 +49,7 @@
   boolean logDown;
   long nowMs = 1_000;
   private final Map<String, Incarnation> incarnations = new HashMap<>();
+  private final Map<String, Long> suspendedMsByVm = new HashMap<>();
 
   CoordinatorSimulation(long seed) {
     random = new SplittableRandom(seed);
@@ -60,7 +62,7 @@
     CoordinatorConfig config =
         customizer.apply(CoordinatorConfig.of(self, joined).withSeedPeers(List.of("vm1a", "vm2b")));
     incarnations.put(vm, self);
-    coordinators.put(vm, Coordinator.create(config, now()));
+    coordinators.put(vm, Coordinator.create(config, now(vm)));
     recordTrace(vm, "starts");
   }
 
@@ -79,24 +81,30 @@
   void runFor(long ms) {
     for (long end = nowMs + ms; nowMs < end; nowMs += STEP_MS) {
       for (String vm : List.copyOf(coordinators.keySet())) {
-        if (coordinators.containsKey(vm) && !pausedVms.contains(vm)) {
+        if (suspendedVms.contains(vm)) {
+          suspendedMsByVm.merge(vm, (long) STEP_MS, Long::sum);
+        } else if (coordinators.containsKey(vm) && !pausedVms.contains(vm)) {
           runVm(vm);
         }
       }
     }
   }
 
-  private DualTimestamp now() {
-    return new DualTimestamp(nowMs, WALL_MS + nowMs);
+  /** Returns the time of a VM, whose monotonic clock does not advance while it is suspended. */
+  DualTimestamp now(String vm) {
+    return new DualTimestamp(nowMs - suspendedMsByVm.getOrDefault(vm, 0L), WALL_MS + nowMs);
   }
 
   private void runVm(String vm) {
     boolean reachesLog = !logDown && !vmsWithoutLog.contains(vm);
     boolean unread = coordinator(vm).nextOffset() < log.size();
     if (reachesLog && (unread || nowMs % POLL_MS == 0)) {
-      handle(vm, new CoordinatorEvent.PageRead(page(coordinator(vm).nextOffset()), nowMs));
+      handle(
+          vm,
+          new CoordinatorEvent.PageRead(page(coordinator(vm).nextOffset()), now(vm).monotonicMs()));
     }
-    if (coordinators.containsKey(vm) && coordinator(vm).deadlineMs(now()) <= nowMs) {
+    if (coordinators.containsKey(vm)
+        && coordinator(vm).deadlineMs(now(vm)) <= now(vm).monotonicMs()) {
       handle(vm, new CoordinatorEvent.Tick());
     }
   }
@@ -111,7 +119,7 @@
 
   void handle(String vm, CoordinatorEvent event) {
     Step<Coordinator, CoordinatorAction> step =
-        coordinator(vm).handle(event, now(), random::nextLong);
+        coordinator(vm).handle(event, now(vm), random::nextLong);
     coordinators.put(vm, step.state());
     for (CoordinatorAction action : step.actions()) {
       perform(vm, action);
@@ -139,7 +147,7 @@
       handle(
           vm,
           new CoordinatorEvent.ReportCompleted(
-              new UsageEvent.ReportResponse(window, ReportStatus.ACCEPTED, now().wallMs())));
+              new UsageEvent.ReportResponse(window, ReportStatus.ACCEPTED, now(vm).wallMs())));
     }
     if (action instanceof CoordinatorAction.DecisionMade decision) {
       recordTrace(vm, decision.subject() + " " + decision.decision() + " " + decision.reason());
@@ -178,6 +186,7 @@
     boolean reached =
         coordinators.containsKey(to)
             && !pausedVms.contains(to)
+            && !suspendedVms.contains(to)
             && !cutLinks.contains(Set.of(from, to));
     if (reached && !from.equals(to)) {
       handle(to, new CoordinatorEvent.PeerMessageReceived(from, message));
@@ -215,7 +224,7 @@
   /** Returns the VMs whose processes may act under the fleet lease now. */
   List<String> fleetHolders() {
     return coordinators.keySet().stream()
-        .filter(vm -> coordinator(vm).fleetLease().mayAct(nowMs))
+        .filter(vm -> coordinator(vm).fleetLease().mayAct(now(vm)))
         .toList();
   }
 
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/control/CoordinatorTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/control/CoordinatorTest.java
@@ -70,7 +70,8 @@
     simulation.pausedVms.add(resumed);
     simulation.runFor(15_000);
     simulation.pausedVms.clear();
-    assertThat(simulation.coordinator(resumed).fleetLease().mayAct(simulation.nowMs)).isFalse();
+    assertThat(simulation.coordinator(resumed).fleetLease().mayAct(simulation.now(resumed)))
+        .isFalse();
     assertThat(simulation.coordinator(resumed).mayServe(simulation.nowMs)).isFalse();
     assertThat(simulation.coordinator(resumed).isFenced(simulation.nowMs)).isTrue();
     simulation.runFor(1_000);
@@ -78,6 +79,18 @@
     assertThat(simulation.fleetHolders()).doesNotContain(resumed);
   }
 
+  /** Guards against a resumed holder whose monotonic clock stood still while another one acted. */
+  @Test
+  void resumedHolderOfASuspendedVmNoLongerActs() {
+    String resumed = holder();
+    simulation.suspendedVms.add(resumed);
+    simulation.runFor(15_000);
+    simulation.suspendedVms.clear();
+    assertThat(simulation.fleetHolders()).hasSize(1).doesNotContain(resumed);
+    simulation.runFor(1_000);
+    assertThat(simulation.fleetHolders()).hasSize(1).doesNotContain(resumed);
+  }
+
   /**
    * Guards against keys that are accepted after their withdrawal while the log is unreachable, and
    * against entries that record the end of one another because of the outage.
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/lease/LeaseSafetyTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/lease/LeaseSafetyTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.RandomSource;
 import io.samphiregauge.core.Step;
 import io.samphiregauge.core.log.Fold;
@@ -40,6 +41,22 @@
     }
   }
 
+  /**
+   * Guards against a resumed VM that acts under a lease that another process has claimed meanwhile,
+   * because its monotonic clock stood still while it was suspended.
+   */
+  @Property(seed = "17", tries = 300)
+  void atMostOneProcessMayActWhenVmsAreSuspended(@ForAll long seed) {
+    Simulation simulation = new Simulation(seed, 3);
+    for (int i = 0; i < 1_500; i++) {
+      simulation.maybeSuspendCandidate();
+      simulation.step();
+      assertThat(simulation.countActing())
+          .as("seed %d at %d ms", seed, simulation.trueMs)
+          .isLessThanOrEqualTo(1);
+    }
+  }
+
   /**
    * Guards against a lease unclaimed for more than 10.5 s and one append after its holder stops.
    */
@@ -105,8 +122,22 @@
       }
     }
 
+    /** Suspends the VM of a random process for up to 20 s in one of 100 calls. */
+    void maybeSuspendCandidate() {
+      if (random.nextInt(100) == 0) {
+        Candidate candidate = candidates.get(random.nextInt(candidates.size()));
+        if (candidate.pausedUntilMs <= trueMs) {
+          candidate.pausedUntilMs = trueMs + random.nextInt(20_000);
+          candidate.suspendedUntilMs = candidate.pausedUntilMs;
+        }
+      }
+    }
+
     void step() {
       trueMs += STEP_MS;
+      candidates.stream()
+          .filter(p -> p.suspendedUntilMs >= trueMs)
+          .forEach(p -> p.suspendedMs += STEP_MS);
       delayedAppends.stream()
           .filter(delayed -> delayed.atMs() <= trueMs)
           .forEach(delayed -> log.add(delayed.logRecord()));
@@ -146,6 +177,8 @@
     LeaseAgent agent;
     FoldedState state = FoldedState.empty();
     long pausedUntilMs;
+    long suspendedUntilMs;
+    long suspendedMs;
 
     Candidate(Simulation simulation, int number, double clockRate) {
       this.simulation = simulation;
@@ -158,13 +191,16 @@
       handleLeaseEvent(new LeaseEvent.Candidacy(true, number * 100L));
     }
 
-    long nowMs() {
-      return (long) (simulation.trueMs * clockRate);
+    /** Returns the time; the monotonic clock does not advance while the VM is suspended. */
+    DualTimestamp now() {
+      return new DualTimestamp(
+          (long) ((simulation.trueMs - suspendedMs) * clockRate),
+          (long) (simulation.trueMs * clockRate));
     }
 
     /** A paused process counts as acting if its next instruction could start an action. */
     boolean mayAct() {
-      return agent.mayAct(nowMs());
+      return agent.mayAct(now());
     }
 
     void runTick() {
@@ -173,7 +209,7 @@
       }
       handleLeaseEvent(new LeaseEvent.Tick());
       Step<LogWriter, LogWriter.Append> step =
-          writer.handle(new LogWriter.Event.Tick(), nowMs(), jitter);
+          writer.handle(new LogWriter.Event.Tick(), now(), jitter);
       writer = step.state();
       step.actions().forEach(this::append);
     }
@@ -188,10 +224,10 @@
               offset,
               logRecord,
               folded.accepted(),
-              writer.firstSentMs(own ? logRecord.getSequence() : 0)));
+              writer.firstSentAt(own ? logRecord.getSequence() : 0)));
       if (own) {
         LogWriter.Event event = new LogWriter.Event.ReadBack(logRecord.getSequence());
-        writer = writer.handle(event, nowMs(), jitter).state();
+        writer = writer.handle(event, now(), jitter).state();
       }
     }
 
@@ -201,11 +237,11 @@
           acknowledged
               ? new LogWriter.Event.Acknowledged(append.callId())
               : new LogWriter.Event.Failed(append.callId());
-      writer = writer.handle(event, nowMs(), jitter).state();
+      writer = writer.handle(event, now(), jitter).state();
     }
 
     void handleLeaseEvent(LeaseEvent event) {
-      Step<LeaseAgent, LeaseAction> step = agent.handle(event, nowMs());
+      Step<LeaseAgent, LeaseAction> step = agent.handle(event, now());
       agent = step.state();
       for (LeaseAction action : step.actions()) {
         if (action instanceof LeaseAction.Write write) {
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/log/LogWriterTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/log/LogWriterTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.RandomSource;
 import io.samphiregauge.core.Step;
 import io.samphiregauge.core.log.LogWriter.Append;
@@ -9,7 +10,6 @@
 import io.samphiregauge.schema.record.Incarnation;
 import io.samphiregauge.schema.record.LogRecord;
 import io.samphiregauge.schema.record.PieceRelease;
-import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -21,7 +21,11 @@
   private static final RandomSource ZERO = () -> 0;
 
   private static Step<LogWriter, Append> tick(LogWriter writer, long nowMs) {
-    return writer.handle(new Event.Tick(), nowMs, ZERO);
+    return writer.handle(new Event.Tick(), at(nowMs), ZERO);
+  }
+
+  private static DualTimestamp at(long monotonicMs) {
+    return new DualTimestamp(monotonicMs, 1_000_000 + monotonicMs);
   }
 
   private static LogWriter twoRecords() {
@@ -35,7 +39,7 @@
     assertThat(early.actions()).isEmpty();
     Step<LogWriter, Append> again = tick(early.state(), early.state().retryAtMs());
     assertThat(again.actions().get(0).records()).isEqualTo(first.actions().get(0).records());
-    assertThat(again.state().firstSentMs(1)).isEqualTo(OptionalLong.of(0));
+    assertThat(again.state().firstSentAt(1)).contains(at(0));
   }
 
   @Test
@@ -43,7 +47,7 @@
     LogWriter open = tick(LogWriter.of(SELF).enqueue(new PieceRelease(0, 1)), 0).state();
     LogWriter more = open.enqueue(new PieceRelease(1, 1)).enqueue(new PieceRelease(2, 1));
     assertThat(tick(more, 1).actions()).isEmpty();
-    Step<LogWriter, Append> next = more.handle(new Event.Acknowledged(1), 2, ZERO);
+    Step<LogWriter, Append> next = more.handle(new Event.Acknowledged(1), at(2), ZERO);
     assertThat(next.actions().get(0).records())
         .extracting(LogRecord::getSequence)
         .containsExactly(2L, 3L);
@@ -51,8 +55,9 @@
 
   @Test
   void doesNotResendARecordThatWasReadBack() {
-    LogWriter failed = tick(twoRecords(), 0).state().handle(new Event.Failed(1), 5, ZERO).state();
-    LogWriter read = failed.handle(new Event.ReadBack(1), 6, ZERO).state();
+    LogWriter failed =
+        tick(twoRecords(), 0).state().handle(new Event.Failed(1), at(5), ZERO).state();
+    LogWriter read = failed.handle(new Event.ReadBack(1), at(6), ZERO).state();
     assertThat(tick(read, read.retryAtMs()).actions().get(0).records())
         .extracting(LogRecord::getSequence)
         .containsExactly(2L);
@@ -60,9 +65,10 @@
 
   @Test
   void ignoresTheResponseToAnEarlierCall() {
-    LogWriter failed = tick(twoRecords(), 0).state().handle(new Event.Failed(1), 5, ZERO).state();
+    LogWriter failed =
+        tick(twoRecords(), 0).state().handle(new Event.Failed(1), at(5), ZERO).state();
     LogWriter second = tick(failed, failed.retryAtMs()).state();
-    assertThat(second.handle(new Event.Acknowledged(1), 500, ZERO).state()).isEqualTo(second);
+    assertThat(second.handle(new Event.Acknowledged(1), at(500), ZERO).state()).isEqualTo(second);
   }
 
   @Test
@@ -71,7 +77,7 @@
     long nowMs = 0;
     long lastWaitMs = 0;
     for (int i = 0; i < 12; i++) {
-      writer = writer.handle(new Event.Failed(writer.callId()), nowMs, ZERO).state();
+      writer = writer.handle(new Event.Failed(writer.callId()), at(nowMs), ZERO).state();
       long waitMs = writer.retryAtMs() - nowMs;
       assertThat(waitMs).isBetween(lastWaitMs, LogWriter.MAX_BACKOFF_MS);
       lastWaitMs = waitMs;
--- a/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/ControlLoop.java
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/ControlLoop.java
@@ -113,7 +113,8 @@
     return step.state();
   }
 
-  private DualTimestamp now() {
+  /** Returns the current time; may be called from any thread. */
+  DualTimestamp now() {
     return new DualTimestamp(clock.nowMs(), System.currentTimeMillis());
   }
 }
--- a/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/ControlSide.java
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/ControlSide.java
@@ -45,7 +45,7 @@
     this.loop =
         new ControlLoop(clock, () -> ThreadLocalRandom.current().nextLong(), config, this::execute);
     this.logClient = new LogClient(loops, logAddress, clock, loop);
-    this.orderClient = new OrderClient(httpClient, platformAddress, clock, loop);
+    this.orderClient = new OrderClient(httpClient, platformAddress, loop);
     this.usageBatcher = new UsageBatcher(loops, loop);
     this.platformPoller =
         platformAddress.map(address -> new PlatformPoller(loops, httpClient, address, loop));
--- a/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/OrderClient.java
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/OrderClient.java
@@ -1,6 +1,5 @@
 package io.samphiregauge.daemon;
 
-import io.samphiregauge.core.Clock;
 import io.samphiregauge.core.control.Coordinator;
 import io.samphiregauge.core.control.CoordinatorEvent;
 import io.samphiregauge.core.lease.LeaseAgent;
@@ -26,14 +25,11 @@
 
   private final OneShotHttpClient httpClient;
   private final Optional<Address> platform;
-  private final Clock clock;
   private final ControlLoop control;
 
-  OrderClient(
-      OneShotHttpClient httpClient, Optional<Address> platform, Clock clock, ControlLoop control) {
+  OrderClient(OneShotHttpClient httpClient, Optional<Address> platform, ControlLoop control) {
     this.httpClient = httpClient;
     this.platform = platform;
-    this.clock = clock;
     this.control = control;
   }
 
@@ -95,13 +91,16 @@
                             .orElse(outcomeUnknown))));
   }
 
-  /** Checks the lease on an event loop, as the last step before the socket write. */
+  /**
+   * Checks the lease on an event loop, as the last step before the socket write. Both clocks are
+   * read here, because the control thread may not have run since the VM was resumed.
+   */
   private boolean holdsLease(Function<Coordinator, LeaseAgent> lease, long token) {
     return control
         .snapshot()
         .coordinator()
         .map(lease)
-        .filter(agent -> agent.token(clock.nowMs()).equals(OptionalLong.of(token)))
+        .filter(agent -> agent.token(control.now()).equals(OptionalLong.of(token)))
         .isPresent();
   }
 
--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/InjectionPoints.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/InjectionPoints.java
@@ -1,5 +1,6 @@
 package io.samphiregauge.verify;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.Step;
 import io.samphiregauge.core.lease.LeaseAgent;
 import io.samphiregauge.core.log.FoldedState;
@@ -31,7 +32,7 @@
   PageReader pageReader = LogReader::read;
   StateRestorer stateRestorer = LogReader::restore;
   LeaseTokenSource leaseTokenSource = LeaseAgent::token;
-  LeaseStart leaseStart = (firstSentMs, nowMs) -> firstSentMs;
+  LeaseStart leaseStart = (firstSentAt, now) -> firstSentAt;
   FreshnessCheck freshnessCheck = Freshness::isFresh;
   TicketRouter ticketRouter = TicketRouting::route;
   TicketUse ticketUse = TicketTable::use;
@@ -64,13 +65,13 @@
   /** Returns the fencing token of a lease, or empty if the process may not act under it. */
   @FunctionalInterface
   interface LeaseTokenSource {
-    OptionalLong token(LeaseAgent agent, long nowMs);
+    OptionalLong token(LeaseAgent agent, DualTimestamp now);
   }
 
   /** Returns the time from which the duration of a lease record of this process counts. */
   @FunctionalInterface
   interface LeaseStart {
-    OptionalLong startMs(OptionalLong firstSentMs, long nowMs);
+    Optional<DualTimestamp> startedAt(Optional<DualTimestamp> firstSentAt, DualTimestamp now);
   }
 
   /** Returns whether the configuration is fresh enough to serve requests with an API key. */
--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/SimulatedNode.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/SimulatedNode.java
@@ -1,5 +1,6 @@
 package io.samphiregauge.verify;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.Step;
 import io.samphiregauge.core.lease.LeaseAction;
 import io.samphiregauge.core.lease.LeaseAgent;
@@ -21,6 +22,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /** Simulates one process: passes events to the state machines and executes their actions. */
@@ -84,6 +86,10 @@
     return vm.clockMs();
   }
 
+  DualTimestamp now() {
+    return vm.now();
+  }
+
   Freshness freshness() {
     return freshness;
   }
@@ -107,7 +113,7 @@
 
   /** Returns the fencing token of a role, or empty if this process may not act in it now. */
   OptionalLong token(String role) {
-    return injectionPoints.leaseTokenSource.token(leaseAgents.get(role), nowMs());
+    return injectionPoints.leaseTokenSource.token(leaseAgents.get(role), now());
   }
 
   void write(RecordBody body) {
@@ -200,12 +206,12 @@
   private void applyRecord(LogReader.ReadOutcome.Folded folded) {
     LogRecord record = folded.recordAt().getRecord();
     boolean isOwn = record.getWriter().equals(self);
-    OptionalLong sentMs =
+    Optional<DualTimestamp> sentAt =
         isOwn
-            ? injectionPoints.leaseStart.startMs(writer.firstSentMs(record.getSequence()), nowMs())
-            : OptionalLong.empty();
+            ? injectionPoints.leaseStart.startedAt(writer.firstSentAt(record.getSequence()), now())
+            : Optional.empty();
     LeaseEvent event =
-        new LeaseEvent.Read(folded.recordAt().getOffset(), record, folded.accepted(), sentMs);
+        new LeaseEvent.Read(folded.recordAt().getOffset(), record, folded.accepted(), sentAt);
     leaseAgents.replaceAll((role, agent) -> runAgent(agent, event));
     if (record.getBody() instanceof Checkpoint checkpoint) {
       checkpointSchedule = checkpointSchedule.onRead(checkpoint, isOwn);
@@ -219,7 +225,7 @@
   }
 
   private LeaseAgent runAgent(LeaseAgent agent, LeaseEvent event) {
-    Step<LeaseAgent, LeaseAction> step = agent.handle(event, nowMs());
+    Step<LeaseAgent, LeaseAction> step = agent.handle(event, now());
     for (LeaseAction action : step.actions()) {
       if (action instanceof LeaseAction.Write write) {
         writer = writer.enqueue(write.body());
@@ -230,7 +236,7 @@
 
   private void runWriter(LogWriter.Event event) {
     Step<LogWriter, LogWriter.Append> step =
-        writer.handle(event, nowMs(), deployment.simulation.random);
+        writer.handle(event, now(), deployment.simulation.random);
     writer = step.state();
     step.actions().forEach(this::append);
   }
--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/SimulatedVm.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/SimulatedVm.java
@@ -1,5 +1,6 @@
 package io.samphiregauge.verify;
 
+import io.samphiregauge.core.DualTimestamp;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -47,6 +48,14 @@
     return clockOriginMs + (long) (deployment.simulation.nowMs() * clockRate);
   }
 
+  /**
+   * Returns the time on both clocks of this VM. They have the same rate error, because the same
+   * time source corrects both.
+   */
+  DualTimestamp now() {
+    return new DualTimestamp(clockMs(), INITIAL_WALL_MS + clockMs());
+  }
+
   /**
    * Returns the time of day. All VMs have the same, as they agree closely enough for usage windows.
    */
--- a/samphiregauge-verify/src/test/java/io/samphiregauge/verify/InjectedFaults.java
+++ b/samphiregauge-verify/src/test/java/io/samphiregauge/verify/InjectedFaults.java
@@ -1,5 +1,6 @@
 package io.samphiregauge.verify;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.Step;
 import io.samphiregauge.core.lease.LeaseAgent;
 import io.samphiregauge.core.lease.LeaseTimes;
@@ -57,7 +58,7 @@
               "count the lease from the answer",
               MAX_SCHEDULES_IF_RARE,
               List.of("one_holder"),
-              points -> points.leaseStart = (firstSentMs, nowMs) -> OptionalLong.of(nowMs)),
+              points -> points.leaseStart = (firstSentAt, now) -> Optional.of(now)),
           new InjectedFault(
               "no clock margin",
               MAX_SCHEDULES,
@@ -67,7 +68,7 @@
               "act after expiry",
               MAX_SCHEDULES,
               List.of("one_holder"),
-              points -> points.leaseTokenSource = (agent, nowMs) -> ownToken(agent)),
+              points -> points.leaseTokenSource = (agent, now) -> ownToken(agent)),
           new InjectedFault(
               "retry a non-idempotent request",
               MAX_SCHEDULES,
@@ -146,10 +147,12 @@
    * Extends the validity of a lease by the holder's and by a claimant's margin, as would be safe
    * only if clocks had no rate error.
    */
-  private static OptionalLong tokenWithoutMargin(LeaseAgent agent, long nowMs) {
+  private static OptionalLong tokenWithoutMargin(LeaseAgent agent, DualTimestamp now) {
     long durationMs = agent.lastLease().map(LeaseState::getDurationMs).orElse(0L);
     long marginMs = 2 * durationMs / LeaseTimes.CLOCK_RATE_MARGIN;
-    return nowMs < agent.validUntilMs() + marginMs ? ownToken(agent) : OptionalLong.empty();
+    return agent.validity().filter(span -> now.monotonicMs() < span.endMs() + marginMs).isPresent()
+        ? ownToken(agent)
+        : OptionalLong.empty();
   }
 
   /** Treats every ticket as local, and runs one without a record under a new ticket. */
