--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/control/StepContext.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/control/StepContext.java
@@ -1,5 +1,6 @@
 package io.samphiregauge.core.control;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.RandomSource;
 import io.samphiregauge.core.Step;
 import io.samphiregauge.core.lease.LeaseAction;
@@ -35,7 +36,7 @@
  */
 final class StepContext {
   final CoordinatorConfig config;
-  final ClockReading now;
+  final DualTimestamp now;
   final RandomSource random;
   final List<CoordinatorAction> actions = new ArrayList<>();
   LogReader logReader;
@@ -54,7 +55,7 @@
   ControlState.TaskState taskState;
 
   StepContext(
-      CoordinatorConfig config, ControlState initialState, ClockReading now, RandomSource random) {
+      CoordinatorConfig config, ControlState initialState, DualTimestamp now, RandomSource random) {
     this.config = config;
     this.now = now;
     this.random = random;
@@ -117,16 +118,16 @@
   }
 
   void updateLogWriter(LogWriter.Event event) {
-    Step<LogWriter, LogWriter.Append> step = logWriter.handle(event, now.monotonicMs(), random);
+    Step<LogWriter, LogWriter.Append> step = logWriter.handle(event, now, random);
     logWriter = step.state();
     step.actions().forEach(append -> actions.add(new CoordinatorAction.Append(append)));
   }
 
   void updateLeases(LeaseEvent fleetEvent, LeaseEvent usageEvent) {
-    Step<LeaseAgent, LeaseAction> fleetStep = fleetLease.handle(fleetEvent, now.monotonicMs());
+    Step<LeaseAgent, LeaseAction> fleetStep = fleetLease.handle(fleetEvent, now);
     fleetLease = fleetStep.state();
     fleetStep.actions().forEach(action -> translate(fleetLease.role(), action));
-    Step<LeaseAgent, LeaseAction> usageStep = usageLease.handle(usageEvent, now.monotonicMs());
+    Step<LeaseAgent, LeaseAction> usageStep = usageLease.handle(usageEvent, now);
     usageLease = usageStep.state();
     usageStep.actions().forEach(action -> translate(usageLease.role(), action));
   }
