Reset orders and reports of the daemon when the lease of their sender ends

OrderClient had the same fault as FleetClient: the lease was checked before the socket write only, and the call stayed open for up to 5 s on a connection that closes gracefully. OneShotHttpClient.postIf now takes a CallAuthority, and the daemon's orders and reports use connections that reset on close. A call ends ACTION_GUARD_MS before the lease unless the lease is renewed. The check of the authority is shared with PooledHttpClient (AuthorityWatch).

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/lease/LeaseAgent.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/lease/LeaseAgent.java
@@ -102,6 +102,16 @@
     return isHeld(nowMs) && nowMs + LeaseTimes.ACTION_GUARD_MS <= validUntilMs;
   }
 
+  /**
+   * Returns for how long actions under the lease may continue.
+   *
+   * @param nowMs current time
+   * @return remaining milliseconds, 0 if {@link #mayAct} returns false
+   */
+  public long actionRemainingMs(long nowMs) {
+    return mayAct(nowMs) ? validUntilMs - LeaseTimes.ACTION_GUARD_MS - nowMs : 0;
+  }
+
   /**
    * Returns the fencing token of the held lease.
    *
--- a/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/ControlSide.java
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/ControlSide.java
@@ -8,6 +8,7 @@
 import io.samphiregauge.daemon.traffic.TrafficView;
 import io.samphiregauge.daemon.traffic.UsageListener;
 import io.samphiregauge.net.Address;
+import io.samphiregauge.net.CloseMode;
 import io.samphiregauge.net.OneShotHttpClient;
 import io.samphiregauge.net.PeerTransport;
 import java.lang.System.Logger;
@@ -45,7 +46,9 @@
     this.loop =
         new ControlLoop(clock, () -> ThreadLocalRandom.current().nextLong(), config, this::execute);
     this.logClient = new LogClient(loops, logAddress, clock, loop);
-    this.orderClient = new OrderClient(httpClient, platformAddress, clock, loop);
+    this.orderClient =
+        new OrderClient(
+            new OneShotHttpClient(loops, CloseMode.RESET), platformAddress, clock, loop);
     this.usageBatcher = new UsageBatcher(loops, loop);
     this.platformPoller =
         platformAddress.map(address -> new PlatformPoller(loops, httpClient, address, loop));
--- a/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/OrderClient.java
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/OrderClient.java
@@ -52,7 +52,7 @@
             path,
             json,
             TIMEOUT_MS,
-            () -> holdsLease(Coordinator::fleetLease, order.leaseToken()))
+            () -> remainingMs(Coordinator::fleetLease, order.leaseToken()))
         .thenAccept(
             response ->
                 control.post(
@@ -80,7 +80,7 @@
             "/v1/usage-reports",
             Codec.json().encode(report.report()),
             TIMEOUT_MS,
-            () -> holdsLease(Coordinator::usageLease, report.leaseToken()))
+            () -> remainingMs(Coordinator::usageLease, report.leaseToken()))
         .thenAccept(
             response ->
                 control.post(
@@ -95,14 +95,17 @@
                             .orElse(outcomeUnknown))));
   }
 
-  /** Checks the lease on an event loop, as the last step before the socket write. */
-  private boolean holdsLease(Function<Coordinator, LeaseAgent> lease, long token) {
-    return control
-        .snapshot()
-        .coordinator()
-        .map(lease)
-        .filter(agent -> agent.token(clock.nowMs()).equals(OptionalLong.of(token)))
-        .isPresent();
+  /** Returns for how long calls under a lease may be outstanding; called on an event loop. */
+  private OptionalLong remainingMs(Function<Coordinator, LeaseAgent> lease, long token) {
+    long nowMs = clock.nowMs();
+    return OptionalLong.of(
+        control
+            .snapshot()
+            .coordinator()
+            .map(lease)
+            .filter(agent -> agent.token(nowMs).equals(OptionalLong.of(token)))
+            .map(agent -> agent.actionRemainingMs(nowMs))
+            .orElse(0L));
   }
 
   private Optional<Address> resolveTarget(String name) {
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/OneShotHttpClient.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/OneShotHttpClient.java
@@ -24,7 +24,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 
 /** HTTP client that opens a new connection for each request and buffers the response. */
 public final class OneShotHttpClient {
@@ -32,14 +31,26 @@
   private static final int CONNECT_TIMEOUT_MS = 2_000;
 
   private final EventLoopGroup loops;
+  private final CloseMode closeMode;
 
   /**
-   * Creates a client.
+   * Creates a client whose connections close gracefully.
    *
    * @param loops event loops of the connections; the client does not shut them down
    */
   public OneShotHttpClient(EventLoopGroup loops) {
+    this(loops, CloseMode.GRACEFUL);
+  }
+
+  /**
+   * Creates a client.
+   *
+   * @param loops event loops of the connections; the client does not shut them down
+   * @param closeMode how the connections close
+   */
+  public OneShotHttpClient(EventLoopGroup loops, CloseMode closeMode) {
     this.loops = loops;
+    this.closeMode = closeMode;
   }
 
   /**
@@ -51,7 +62,7 @@
    * @return the body of a 2xx response, or the failure
    */
   public CompletableFuture<Result<byte[]>> get(Address address, String path, int timeoutMs) {
-    return send(address, HttpMethod.GET, path, new byte[0], timeoutMs, () -> true);
+    return send(address, HttpMethod.GET, path, new byte[0], timeoutMs, CallAuthority.UNLIMITED);
   }
 
   /**
@@ -65,23 +76,25 @@
    */
   public CompletableFuture<Result<byte[]>> post(
       Address address, String path, byte[] json, int timeoutMs) {
-    return send(address, HttpMethod.POST, path, json, timeoutMs, () -> true);
+    return send(address, HttpMethod.POST, path, json, timeoutMs, CallAuthority.UNLIMITED);
   }
 
   /**
-   * Sends a POST request with a JSON body only if {@code mayWrite} returns true once connected.
+   * Sends a POST request with a JSON body that may be outstanding only while its sender has the
+   * authority for it.
    *
    * @param address address of the server
    * @param path path and query
    * @param json body
    * @param timeoutMs read timeout in milliseconds
-   * @param mayWrite called immediately before the socket write; false fails the request with {@link
-   *     NetFailure.Withheld}
+   * @param authority limits the request: if it has ended before the socket write, the request fails
+   *     with {@link NetFailure.Withheld}; if it ends before the response is complete, the
+   *     connection closes and the request fails with {@link NetFailure.NoAnswer}
    * @return the body of a 2xx response, or the failure
    */
   public CompletableFuture<Result<byte[]>> postIf(
-      Address address, String path, byte[] json, int timeoutMs, BooleanSupplier mayWrite) {
-    return send(address, HttpMethod.POST, path, json, timeoutMs, mayWrite);
+      Address address, String path, byte[] json, int timeoutMs, CallAuthority authority) {
+    return send(address, HttpMethod.POST, path, json, timeoutMs, authority);
   }
 
   private CompletableFuture<Result<byte[]>> send(
@@ -90,7 +103,7 @@
       String path,
       byte[] body,
       int timeoutMs,
-      BooleanSupplier mayWrite) {
+      CallAuthority authority) {
     CompletableFuture<Result<byte[]>> future = new CompletableFuture<>();
     Bootstrap bootstrap =
         new Bootstrap()
@@ -110,15 +123,17 @@
                         .addLast(new ResponseHandler(address, future));
                   }
                 });
+    closeMode.configure(bootstrap);
     bootstrap
         .connect(address.toSocketAddress())
         .addListener(
             (ChannelFuture connected) -> {
-              if (connected.isSuccess() && !mayWrite.getAsBoolean()) {
+              if (connected.isSuccess() && AuthorityWatch.hasEnded(authority)) {
                 future.complete(Result.failed(new NetFailure.Withheld(address.toString())));
                 connected.channel().close();
               } else if (connected.isSuccess()) {
                 write(connected.channel(), address, method, path, body);
+                watchAuthority(connected.channel(), address, authority, future);
               } else {
                 future.complete(
                     Result.failed(
@@ -143,6 +158,24 @@
     channel.writeAndFlush(request);
   }
 
+  private static void watchAuthority(
+      Channel channel,
+      Address address,
+      CallAuthority authority,
+      CompletableFuture<Result<byte[]>> future) {
+    AuthorityWatch.start(
+        channel.eventLoop(),
+        authority,
+        future,
+        () -> {
+          future.complete(
+              Result.failed(
+                  new NetFailure.NoAnswer(
+                      address.toString(), "no response before the end of the sender's authority")));
+          channel.close();
+        });
+  }
+
   private static final class ResponseHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
     private static final int FIRST_NON_SUCCESS_STATUS = 300;
 
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/PooledHttpClient.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/PooledHttpClient.java
@@ -17,7 +17,6 @@
 import java.io.ByteArrayOutputStream;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -31,12 +30,6 @@
    */
   private static final int MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
 
-  /**
-   * Longest time between two checks of a limited authority. The timers of the event loop are late
-   * by the time for which a VM was suspended, so the end of the authority alone is not enough.
-   */
-  private static final int AUTHORITY_CHECK_MS = 100;
-
   private final EventLoop loop;
   private final HttpConnectionPool pool;
 
@@ -140,7 +133,7 @@
       CallAuthority authority,
       CompletableFuture<Result<BufferedResponse>> future) {
     Address address = connection.address();
-    if (hasEnded(authority)) {
+    if (AuthorityWatch.hasEnded(authority)) {
       connection.abandon();
       return future.complete(Result.failed(new NetFailure.Withheld(address.toString())));
     }
@@ -149,66 +142,27 @@
         toHttpRequest(address, request),
         new ResponseListener(
             collector::add, () -> {}, failure -> future.complete(Result.failed(failure))));
-    long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
-    scheduleLimitCheck(new OpenCall(connection, timeoutMs, deadlineNanos, authority, future));
+    var timer =
+        loop.schedule(
+            () -> endCall(connection, "no response within " + timeoutMs + " ms", future),
+            timeoutMs,
+            TimeUnit.MILLISECONDS);
+    future.whenComplete((result, thrown) -> timer.cancel(false));
+    AuthorityWatch.start(
+        loop,
+        authority,
+        future,
+        () -> endCall(connection, "no response before the end of the sender's authority", future));
     return true;
   }
 
-  /** A request that was written and whose response is not complete. */
-  private record OpenCall(
+  private void endCall(
       HttpConnection connection,
-      int timeoutMs,
-      long deadlineNanos,
-      CallAuthority authority,
+      String reason,
       CompletableFuture<Result<BufferedResponse>> future) {
-    long untilTimeoutNanos() {
-      return deadlineNanos - System.nanoTime();
-    }
-
-    /** Returns the time until the next check of the timeout and the authority. */
-    long untilCheckNanos() {
-      OptionalLong remainingMs = authority.remainingMs();
-      if (remainingMs.isEmpty()) {
-        return untilTimeoutNanos();
-      }
-      long authorityCheckMs = Math.min(remainingMs.getAsLong(), AUTHORITY_CHECK_MS);
-      return Math.min(untilTimeoutNanos(), TimeUnit.MILLISECONDS.toNanos(authorityCheckMs));
-    }
-
-    Optional<String> exceededLimit() {
-      if (hasEnded(authority)) {
-        return Optional.of("no response before the end of the sender's authority");
-      }
-      return untilTimeoutNanos() <= 0
-          ? Optional.of("no response within " + timeoutMs + " ms")
-          : Optional.empty();
-    }
-  }
-
-  private static boolean hasEnded(CallAuthority authority) {
-    OptionalLong remainingMs = authority.remainingMs();
-    return remainingMs.isPresent() && remainingMs.getAsLong() <= 0;
-  }
-
-  private void scheduleLimitCheck(OpenCall call) {
-    if (call.future().isDone()) {
-      return;
-    }
-    var timer =
-        loop.schedule(() -> checkLimits(call), call.untilCheckNanos(), TimeUnit.NANOSECONDS);
-    call.future().whenComplete((result, thrown) -> timer.cancel(false));
-  }
-
-  private void checkLimits(OpenCall call) {
-    Optional<String> exceeded = call.exceededLimit();
-    if (exceeded.isEmpty()) {
-      scheduleLimitCheck(call);
-      return;
-    }
-    Address address = call.connection().address();
-    NetFailure failure = new NetFailure.NoAnswer(address.toString(), exceeded.orElseThrow());
-    if (call.future().complete(Result.failed(failure))) {
-      call.connection().abandon();
+    Address address = connection.address();
+    if (future.complete(Result.failed(new NetFailure.NoAnswer(address.toString(), reason)))) {
+      connection.abandon();
       pool.closeIdle(address);
     }
   }
