--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/lease/LeaseAgent.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/lease/LeaseAgent.java
@@ -106,6 +106,16 @@
     return isHeld(now) && remainingMs(now) >= LeaseTimes.ACTION_GUARD_MS;
   }
 
+  /**
+   * Returns for how long actions under the lease may continue.
+   *
+   * @param now current time
+   * @return remaining milliseconds, 0 if {@link #mayAct} returns false
+   */
+  public long actionRemainingMs(DualTimestamp now) {
+    return mayAct(now) ? remainingMs(now) - LeaseTimes.ACTION_GUARD_MS : 0;
+  }
+
   /**
    * Returns the fencing token of the held lease.
    *
--- a/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/OrderClient.java
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/OrderClient.java
@@ -1,5 +1,6 @@
 package io.samphiregauge.daemon;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.control.Coordinator;
 import io.samphiregauge.core.control.CoordinatorEvent;
 import io.samphiregauge.core.lease.LeaseAgent;
@@ -48,7 +49,7 @@
             path,
             json,
             TIMEOUT_MS,
-            () -> holdsLease(Coordinator::fleetLease, order.leaseToken()))
+            () -> remainingMs(Coordinator::fleetLease, order.leaseToken()))
         .thenAccept(
             response ->
                 control.post(
@@ -76,7 +77,7 @@
             "/v1/usage-reports",
             Codec.json().encode(report.report()),
             TIMEOUT_MS,
-            () -> holdsLease(Coordinator::usageLease, report.leaseToken()))
+            () -> remainingMs(Coordinator::usageLease, report.leaseToken()))
         .thenAccept(
             response ->
                 control.post(
@@ -92,16 +93,19 @@
   }
 
   /**
-   * Checks the lease on an event loop, as the last step before the socket write. Both clocks are
-   * read here, because the control thread may not have run since the VM was resumed.
+   * Returns for how long calls under a lease may be outstanding; called on an event loop. Both
+   * clocks are read here, because the control thread may not have run since the VM was resumed.
    */
-  private boolean holdsLease(Function<Coordinator, LeaseAgent> lease, long token) {
-    return control
-        .snapshot()
-        .coordinator()
-        .map(lease)
-        .filter(agent -> agent.token(control.now()).equals(OptionalLong.of(token)))
-        .isPresent();
+  private OptionalLong remainingMs(Function<Coordinator, LeaseAgent> lease, long token) {
+    DualTimestamp now = control.now();
+    return OptionalLong.of(
+        control
+            .snapshot()
+            .coordinator()
+            .map(lease)
+            .filter(agent -> agent.token(now).equals(OptionalLong.of(token)))
+            .map(agent -> agent.actionRemainingMs(now))
+            .orElse(0L));
   }
 
   private Optional<Address> resolveTarget(String name) {
