Count the age of log contacts and outage reports by both clocks

After a suspension, an entry accepted API keys that had been withdrawn meanwhile and used pieces that had been given to others, until its first failed or completed read.

Cause: Freshness, OutageReports and RecordRelay counted ages on the monotonic clock alone, which stands still while a VM is suspended.

Change: these times are DualTimestamps, and ages count on the clock that advanced further, as in the gateway. The traffic threads read both clocks for each request. A wall clock that is set forward makes an entry refuse keyed requests until the next read of the log that was sent after it.

Evidence: CoordinatorTest.entryOfASuspendedVmIsFencedUntilItsNextContact failed on the code before (the entry served after a suspension of 60 s). With the wall clock ignored in DualTimestamp.millisSince, it fails again, as do LogReaderTest.contactsAgeWhileTheVmIsSuspended and OutageReportsTest.aMajorityExpiresWhileTheVmIsSuspended; with the change all pass, as do EntryTest, MultiEntryTest and the tests of the verify module.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/control/Coordinator.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/control/Coordinator.java
@@ -32,9 +32,9 @@
  * <pre>{@code
  * Coordinator coordinator = Coordinator.create(CoordinatorConfig.of(self, joined), now);
  * Step<Coordinator, CoordinatorAction> step =
- *     coordinator.handle(new CoordinatorEvent.PageRead(page, requestSentMs), now, random);
+ *     coordinator.handle(new CoordinatorEvent.PageRead(page, requestSentAt), now, random);
  * step.actions().forEach(this::perform);
- * if (step.state().mayServe(now.monotonicMs())) { ... }
+ * if (step.state().mayServe(now)) { ... }
  * }</pre>
  */
 public final class Coordinator {
@@ -139,21 +139,21 @@
    * Returns whether requests with an API key may be served. A process that starts without log
    * contact may serve them with the records of a peer before it has joined.
    *
-   * @param nowMs current time
+   * @param now current time
    * @return true while the state is fresh and the process has not ended
    */
-  public boolean mayServe(long nowMs) {
-    return !state().hasEnded(config.self()) && controlState.freshness().isFresh(nowMs);
+  public boolean mayServe(DualTimestamp now) {
+    return !state().hasEnded(config.self()) && controlState.freshness().isFresh(now);
   }
 
   /**
    * Returns whether the process must neither run tickets nor use pieces.
    *
-   * @param nowMs current time
+   * @param now current time
    * @return true if the last contact is too old, or the process has not joined or has ended
    */
-  public boolean isFenced(long nowMs) {
-    return !state().isLive(config.self()) || controlState.freshness().isFenced(nowMs);
+  public boolean isFenced(DualTimestamp now) {
+    return !state().isLive(config.self()) || controlState.freshness().isFenced(now);
   }
 
   /**
@@ -177,11 +177,11 @@
   /**
    * Returns the pieces of capacity that the process may use.
    *
-   * @param nowMs current time
+   * @param now current time
    * @return the ranges assigned to the process; empty while it is fenced
    */
-  public List<PieceRange> pieces(long nowMs) {
-    if (isFenced(nowMs)) {
+  public List<PieceRange> pieces(DualTimestamp now) {
+    if (isFenced(now)) {
       return List.of();
     }
     Optional<PieceTable> table =
@@ -203,10 +203,10 @@
   /**
    * Returns the age of the last log contact of this process.
    *
-   * @param nowMs current time
+   * @param now current time
    * @return milliseconds, or empty before the first contact
    */
-  public OptionalLong logContactAgeMs(long nowMs) {
-    return controlState.freshness().ownContactAgeMs(nowMs);
+  public OptionalLong logContactAgeMs(DualTimestamp now) {
+    return controlState.freshness().ownContactAgeMs(now);
   }
 }
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/control/CoordinatorEvent.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/control/CoordinatorEvent.java
@@ -1,5 +1,6 @@
 package io.samphiregauge.core.control;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.log.LogWriter;
 import io.samphiregauge.core.order.OrderEvent;
 import io.samphiregauge.core.usage.UsageEvent;
@@ -17,9 +18,9 @@
    * A read of the log returned a page.
    *
    * @param page the page, which may be empty
-   * @param requestSentMs monotonic time just before the request was sent
+   * @param requestSentAt time just before the request was sent
    */
-  record PageRead(RecordsPage page, long requestSentMs) implements CoordinatorEvent {}
+  record PageRead(RecordsPage page, DualTimestamp requestSentAt) implements CoordinatorEvent {}
 
   /** An append to the log succeeded or failed. */
   record AppendCompleted(LogWriter.Event outcome) implements CoordinatorEvent {}
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/control/CoordinatorEventHandler.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/control/CoordinatorEventHandler.java
@@ -39,7 +39,7 @@
 
   private void dispatch(CoordinatorEvent event) {
     if (event instanceof CoordinatorEvent.PageRead pageRead) {
-      LogReadHandler.handlePage(context, pageRead.page(), pageRead.requestSentMs());
+      LogReadHandler.handlePage(context, pageRead.page(), pageRead.requestSentAt());
     }
     if (event instanceof CoordinatorEvent.AppendCompleted append) {
       context.updateLogWriter(append.outcome());
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/control/LogReadHandler.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/control/LogReadHandler.java
@@ -24,16 +24,15 @@
 import io.samphiregauge.schema.record.UsageSealed;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 
 /** Passes records from the log or from a peer to all components. */
 final class LogReadHandler {
   private LogReadHandler() {}
 
-  static void handlePage(StepContext context, RecordsPage page, long requestSentMs) {
+  static void handlePage(StepContext context, RecordsPage page, DualTimestamp requestSentAt) {
     applyReads(context, context.logReader.read(page));
     if (context.logReader.isCaughtUp(page)) {
-      context.freshness = context.freshness.withOwnContact(requestSentMs);
+      context.freshness = context.freshness.withOwnContact(requestSentAt);
     }
     if (!page.getRecords().isEmpty()) {
       PeerExchange.addMemberHints(context, List.of(), List.of());
@@ -46,8 +45,8 @@
    * request. The time of the peer's log contact is computed from the time the request was sent.
    */
   static void handleReply(StepContext context, RecordsReply reply) {
-    OptionalLong sentMs = context.recordRelay.sentMs(reply.getNumber().orElse(0L));
-    if (sentMs.isEmpty()) {
+    Optional<DualTimestamp> sentAt = context.recordRelay.sentAt(reply.getNumber().orElse(0L));
+    if (sentAt.isEmpty()) {
       return;
     }
     context.recordRelay = context.recordRelay.withoutRequest(reply.getNumber().orElseThrow());
@@ -60,7 +59,7 @@
         reply.getSnapshot().isPresent() || context.state().upToOffset() >= reply.getAfterOffset();
     if (upToDate && reply.getLogContactAgeMs() >= 0) {
       context.freshness =
-          context.freshness.withPeerContact(sentMs.getAsLong(), reply.getLogContactAgeMs());
+          context.freshness.withPeerContact(sentAt.get(), reply.getLogContactAgeMs());
     }
     publishProgress(context);
   }
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/control/PeerExchange.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/control/PeerExchange.java
@@ -1,5 +1,6 @@
 package io.samphiregauge.core.control;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.Step;
 import io.samphiregauge.core.log.FoldedState;
 import io.samphiregauge.core.log.Freshness;
@@ -32,15 +33,14 @@
 
   static void handleMessage(StepContext context, String senderAddress, PeerMessage message) {
     if (message instanceof RecordsRequest request) {
-      OptionalLong ageMs = context.freshness.ownContactAgeMs(context.now.monotonicMs());
+      OptionalLong ageMs = context.freshness.ownContactAgeMs(context.now);
       context.send(senderAddress, context.recordRelay.reply(request, context.state(), ageMs));
     } else if (message instanceof RecordsReply reply) {
       LogReadHandler.handleReply(context, reply);
     } else if (message instanceof OutageQuery query) {
       context.send(
           senderAddress,
-          context.outageReports.respond(
-              query, context.self(), outageView(context), context.now.monotonicMs()));
+          context.outageReports.respond(query, context.self(), outageView(context), context.now));
     } else if (message instanceof OutageReport report) {
       context.outageReports = context.outageReports.withReport(report, outageView(context));
     } else if (message instanceof UsageCopy copy) {
@@ -82,7 +82,7 @@
             .filter(process -> !process.isEnded())
             .map(ProcessState::getIncarnation)
             .toList(),
-        freshness.ownContactMs());
+        freshness.ownContactAt());
   }
 
   /**
@@ -93,14 +93,14 @@
     long nowMs = context.now.monotonicMs();
     OutageReports.LocalView view = outageView(context);
     Step<OutageReports, MemberAction> step =
-        context.outageReports.tick(view, context.membership.live(), nowMs, context.random);
+        context.outageReports.tick(view, context.membership.live(), context.now, context.random);
     context.outageReports = step.state();
     step.actions().forEach(context::translate);
-    OptionalLong majorityMs = context.outageReports.majorityOutageMs(view, nowMs);
-    if (majorityMs.isPresent() && isUpToDateWithMembers(context)) {
-      context.freshness = context.freshness.withOutage(majorityMs.getAsLong());
+    Optional<DualTimestamp> outageAt = context.outageReports.majorityOutageAt(view, context.now);
+    if (outageAt.isPresent() && isUpToDateWithMembers(context)) {
+      context.freshness = context.freshness.withOutage(outageAt.get());
     }
-    long ageMs = context.freshness.ownContactAgeMs(nowMs).orElse(Long.MAX_VALUE);
+    long ageMs = context.freshness.ownContactAgeMs(context.now).orElse(Long.MAX_VALUE);
     if (ageMs >= RecordRelay.REQUEST_AFTER_MS && nowMs >= context.recordRelay.nextRequestMs()) {
       requestRecords(context);
     }
@@ -120,7 +120,7 @@
    * random member.
    */
   private static void requestRecords(StepContext context) {
-    context.recordRelay = context.recordRelay.withRequest(context.now.monotonicMs());
+    context.recordRelay = context.recordRelay.withRequest(context.now);
     List<KnownMember> live = new ArrayList<>(context.membership.live());
     if (live.isEmpty()) {
       return;
@@ -180,7 +180,7 @@
 
   /** Returns whether the log contact of this process is recent enough to claim leases. */
   static boolean hasRecentLogContact(StepContext context) {
-    return context.freshness.ownContactAgeMs(context.now.monotonicMs()).orElse(Long.MAX_VALUE)
+    return context.freshness.ownContactAgeMs(context.now).orElse(Long.MAX_VALUE)
         <= Freshness.MAX_STALENESS_MS;
   }
 }
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/control/RecordRelay.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/control/RecordRelay.java
@@ -1,5 +1,6 @@
 package io.samphiregauge.core.control;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.log.FoldedState;
 import io.samphiregauge.schema.peer.RecordAt;
 import io.samphiregauge.schema.peer.RecordsReply;
@@ -8,6 +9,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.TreeMap;
 
@@ -21,7 +23,7 @@
  */
 record RecordRelay(
     List<RecordAt> recentRecords,
-    Map<Long, Long> pendingRequests,
+    Map<Long, DualTimestamp> pendingRequests,
     long lastRequestNumber,
     long nextRequestMs) {
 
@@ -58,24 +60,22 @@
     return new RecordRelay(List.of(), pendingRequests, lastRequestNumber, nextRequestMs);
   }
 
-  RecordRelay withRequest(long nowMs) {
-    Map<Long, Long> pending = new TreeMap<>(pendingRequests);
-    pending.values().removeIf(sentMs -> nowMs - sentMs > REQUEST_TIMEOUT_MS);
-    pending.put(lastRequestNumber + 1, nowMs);
+  RecordRelay withRequest(DualTimestamp now) {
+    Map<Long, DualTimestamp> pending = new TreeMap<>(pendingRequests);
+    pending.values().removeIf(sentAt -> now.millisSince(sentAt) > REQUEST_TIMEOUT_MS);
+    pending.put(lastRequestNumber + 1, now);
     return new RecordRelay(
-        recentRecords, pending, lastRequestNumber + 1, nowMs + REQUEST_PERIOD_MS);
+        recentRecords, pending, lastRequestNumber + 1, now.monotonicMs() + REQUEST_PERIOD_MS);
   }
 
   RecordRelay withoutRequest(long requestNumber) {
-    Map<Long, Long> pending = new TreeMap<>(pendingRequests);
+    Map<Long, DualTimestamp> pending = new TreeMap<>(pendingRequests);
     pending.remove(requestNumber);
     return new RecordRelay(recentRecords, pending, lastRequestNumber, nextRequestMs);
   }
 
-  OptionalLong sentMs(long requestNumber) {
-    return pendingRequests.containsKey(requestNumber)
-        ? OptionalLong.of(pendingRequests.get(requestNumber))
-        : OptionalLong.empty();
+  Optional<DualTimestamp> sentAt(long requestNumber) {
+    return Optional.ofNullable(pendingRequests.get(requestNumber));
   }
 
   /**
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/member/OutageReports.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/member/OutageReports.java
@@ -1,5 +1,6 @@
 package io.samphiregauge.core.member;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.RandomSource;
 import io.samphiregauge.core.Step;
 import io.samphiregauge.schema.peer.OutageQuery;
@@ -7,9 +8,10 @@
 import io.samphiregauge.schema.record.Incarnation;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
+import java.util.Optional;
 import java.util.TreeMap;
 
 /**
@@ -19,18 +21,19 @@
  *
  * <p>Reports are pulled, not pushed: the age of a report counts from the time its query was sent. A
  * report that waited in a socket buffer while this process was paused is therefore not mistaken for
- * a recent one.
+ * a recent one. Ages count on the clock that advanced further, because the monotonic clock stops
+ * while a VM is suspended.
  *
  * @param selfVm VM of this process
- * @param reportMsByVm time of the newest report of missing log contact, by VM
+ * @param reportedAtByVm time of the newest report of missing log contact, by VM
  * @param pendingQueries send time of each unanswered query, by number
  * @param lastQueryNumber number of the last query sent
  * @param nextQueryMs time of the next queries
  */
 public record OutageReports(
     String selfVm,
-    Map<String, Long> reportMsByVm,
-    Map<Long, Long> pendingQueries,
+    Map<String, DualTimestamp> reportedAtByVm,
+    Map<Long, DualTimestamp> pendingQueries,
     long lastQueryNumber,
     long nextQueryMs) {
 
@@ -54,23 +57,23 @@
    *
    * @param appliedOffset last folded offset, which determines the list of processes
    * @param processes processes that have not ended, ordered by VM
-   * @param logContactMs time of this process's last log contact, or empty
+   * @param logContactAt time of this process's last log contact, or empty
    */
   public record LocalView(
-      long appliedOffset, List<Incarnation> processes, OptionalLong logContactMs) {
+      long appliedOffset, List<Incarnation> processes, Optional<DualTimestamp> logContactAt) {
     /** Copies the list. */
     public LocalView {
       processes = List.copyOf(processes);
     }
 
-    boolean hasLogContact(long nowMs) {
-      return logContactMs.isPresent() && nowMs - logContactMs.getAsLong() <= CONTACT_TIMEOUT_MS;
+    boolean hasLogContact(DualTimestamp now) {
+      return logContactAt.filter(at -> now.millisSince(at) <= CONTACT_TIMEOUT_MS).isPresent();
     }
   }
 
   /** Copies the maps. */
   public OutageReports {
-    reportMsByVm = Collections.unmodifiableMap(new TreeMap<>(reportMsByVm));
+    reportedAtByVm = Collections.unmodifiableMap(new TreeMap<>(reportedAtByVm));
     pendingQueries = Collections.unmodifiableMap(new TreeMap<>(pendingQueries));
   }
 
@@ -90,35 +93,37 @@
    *
    * @param view log position and log contact of this process
    * @param live other members that are not dead
-   * @param nowMs current time
+   * @param now current time
    * @param random source of randomness for choosing members
    * @return the next state, and the queries to send
    */
   public Step<OutageReports, MemberAction> tick(
-      LocalView view, List<KnownMember> live, long nowMs, RandomSource random) {
-    if (view.hasLogContact(nowMs)) {
+      LocalView view, List<KnownMember> live, DualTimestamp now, RandomSource random) {
+    if (view.hasLogContact(now)) {
       return Step.to(of(selfVm).withoutReports(lastQueryNumber));
     }
-    if (nowMs < nextQueryMs) {
+    if (now.monotonicMs() < nextQueryMs) {
       return Step.to(this);
     }
     List<KnownMember> candidates = new ArrayList<>(live);
     List<MemberAction> queries = new ArrayList<>();
-    Map<Long, Long> pending = new TreeMap<>(pendingQueries);
-    pending.values().removeIf(sentMs -> nowMs - sentMs > REPORT_MAX_AGE_MS);
+    Map<Long, DualTimestamp> pending = new TreeMap<>(pendingQueries);
+    pending.values().removeIf(sentAt -> now.millisSince(sentAt) > REPORT_MAX_AGE_MS);
     long nextNumber = lastQueryNumber;
     while (queries.size() < QUERIES_PER_PERIOD && !candidates.isEmpty()) {
       KnownMember target = candidates.remove(random.nextIndex(candidates.size()));
       nextNumber++;
-      pending.put(nextNumber, nowMs);
+      pending.put(nextNumber, now);
       queries.add(
           new MemberAction.Send(
               target.member().getPeerAddress(), new OutageQuery(nextNumber, view.appliedOffset())));
     }
-    Map<String, Long> reports = new TreeMap<>(reportMsByVm);
-    reports.put(selfVm, nowMs);
+    Map<String, DualTimestamp> reports = new TreeMap<>(reportedAtByVm);
+    reports.put(selfVm, now);
     return new Step<>(
-        new OutageReports(selfVm, reports, pending, nextNumber, nowMs + QUERY_PERIOD_MS), queries);
+        new OutageReports(
+            selfVm, reports, pending, nextNumber, now.monotonicMs() + QUERY_PERIOD_MS),
+        queries);
   }
 
   /**
@@ -127,25 +132,26 @@
    * @param query the query
    * @param sender this process
    * @param view log position and log contact of this process
-   * @param nowMs current time
+   * @param now current time
    * @return ages of the reports held here, all {@code NO_REPORT} while this process has log contact
    */
-  public OutageReport respond(OutageQuery query, Incarnation sender, LocalView view, long nowMs) {
+  public OutageReport respond(
+      OutageQuery query, Incarnation sender, LocalView view, DualTimestamp now) {
     List<Integer> ages = new ArrayList<>();
     for (Incarnation process : view.processes()) {
-      ages.add(view.hasLogContact(nowMs) ? NO_REPORT : reportAge(process.getVm(), nowMs));
+      ages.add(view.hasLogContact(now) ? NO_REPORT : reportAge(process.getVm(), now));
     }
     return new OutageReport(query.getNumber(), sender, view.appliedOffset(), ages);
   }
 
-  private int reportAge(String vm, long nowMs) {
+  private int reportAge(String vm, DualTimestamp now) {
     if (vm.equals(selfVm)) {
       return 0;
     }
-    if (!reportMsByVm.containsKey(vm)) {
+    if (!reportedAtByVm.containsKey(vm)) {
       return NO_REPORT;
     }
-    long ageMs = nowMs - reportMsByVm.get(vm);
+    long ageMs = now.millisSince(reportedAtByVm.get(vm));
     return (int) Math.min(NO_REPORT, (ageMs + AGE_UNIT_MS - 1) / AGE_UNIT_MS);
   }
 
@@ -161,17 +167,17 @@
     if (!pendingQueries.containsKey(report.getNumber())) {
       return this;
     }
-    Map<Long, Long> pending = new TreeMap<>(pendingQueries);
-    long sentMs = pending.remove(report.getNumber());
-    Map<String, Long> reports = new TreeMap<>(reportMsByVm);
+    Map<Long, DualTimestamp> pending = new TreeMap<>(pendingQueries);
+    DualTimestamp sentAt = pending.remove(report.getNumber());
+    Map<String, DualTimestamp> reports = new TreeMap<>(reportedAtByVm);
     boolean comparable =
         report.getAppliedOffset() == view.appliedOffset()
             && report.getAges().size() == view.processes().size();
     for (int i = 0; comparable && i < report.getAges().size(); i++) {
       int age = report.getAges().get(i);
       if (age < NO_REPORT) {
-        long reportMs = sentMs - (long) age * AGE_UNIT_MS;
-        reports.merge(view.processes().get(i).getVm(), reportMs, Math::max);
+        DualTimestamp reportedAt = sentAt.minusMs((long) age * AGE_UNIT_MS);
+        reports.merge(view.processes().get(i).getVm(), reportedAt, OutageReports::latest);
       }
     }
     return new OutageReports(selfVm, reports, pending, lastQueryNumber, nextQueryMs);
@@ -182,24 +188,24 @@
    * or later.
    *
    * @param view log position and log contact of this process
-   * @param nowMs current time
+   * @param now current time
    * @return the oldest report time among the newest reports that form a majority, or empty if this
    *     process has log contact or fewer than a majority have a recent report
    */
-  public OptionalLong majorityOutageMs(LocalView view, long nowMs) {
-    List<Long> times = new ArrayList<>();
+  public Optional<DualTimestamp> majorityOutageAt(LocalView view, DualTimestamp now) {
+    List<DualTimestamp> times = new ArrayList<>();
     for (Incarnation process : view.processes()) {
-      long reportMs = reportMsByVm.getOrDefault(process.getVm(), Long.MIN_VALUE);
-      if (reportMs >= nowMs - REPORT_MAX_AGE_MS) {
-        times.add(reportMs);
+      DualTimestamp reportedAt = reportedAtByVm.getOrDefault(process.getVm(), DualTimestamp.NEVER);
+      if (now.millisSince(reportedAt) <= REPORT_MAX_AGE_MS) {
+        times.add(reportedAt);
       }
     }
     int majority = view.processes().size() / 2 + 1;
-    if (view.hasLogContact(nowMs) || times.size() < majority) {
-      return OptionalLong.empty();
+    if (view.hasLogContact(now) || times.size() < majority) {
+      return Optional.empty();
     }
-    times.sort(Collections.reverseOrder());
-    return OptionalLong.of(times.get(majority - 1));
+    times.sort(Comparator.comparingLong(now::millisSince));
+    return Optional.of(times.get(majority - 1));
   }
 
   /**
@@ -209,12 +215,17 @@
    * @return time on the clock of the process
    */
   public long deadlineMs(LocalView view) {
-    OptionalLong logContactMs = view.logContactMs();
     long contactTimeoutMs =
-        logContactMs.isPresent() ? logContactMs.getAsLong() + CONTACT_TIMEOUT_MS + 1 : nextQueryMs;
+        view.logContactAt()
+            .map(contactAt -> contactAt.monotonicMs() + CONTACT_TIMEOUT_MS + 1)
+            .orElse(nextQueryMs);
     return Math.max(contactTimeoutMs, nextQueryMs);
   }
 
+  private static DualTimestamp latest(DualTimestamp known, DualTimestamp candidate) {
+    return candidate.millisSince(known) < 0 ? known : candidate;
+  }
+
   private OutageReports withoutReports(long queryNumber) {
     return new OutageReports(selfVm, Map.of(), Map.of(), queryNumber, Long.MIN_VALUE);
   }
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/control/CoordinatorSimulation.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/control/CoordinatorSimulation.java
@@ -99,9 +99,7 @@
     boolean reachesLog = !logDown && !vmsWithoutLog.contains(vm);
     boolean unread = coordinator(vm).nextOffset() < log.size();
     if (reachesLog && (unread || nowMs % POLL_MS == 0)) {
-      handle(
-          vm,
-          new CoordinatorEvent.PageRead(page(coordinator(vm).nextOffset()), now(vm).monotonicMs()));
+      handle(vm, new CoordinatorEvent.PageRead(page(coordinator(vm).nextOffset()), now(vm)));
     }
     if (coordinators.containsKey(vm)
         && coordinator(vm).deadlineMs(now(vm)) <= now(vm).monotonicMs()) {
@@ -229,6 +227,6 @@
   }
 
   long countServing() {
-    return coordinators.values().stream().filter(c -> c.mayServe(nowMs)).count();
+    return coordinators.keySet().stream().filter(vm -> coordinator(vm).mayServe(now(vm))).count();
   }
 }
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/control/CoordinatorTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/control/CoordinatorTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.log.Freshness;
 import io.samphiregauge.core.order.DesiredChange;
 import io.samphiregauge.schema.order.Drain;
@@ -34,8 +35,8 @@
   /** Counts the pieces that the entries use, and checks that no two entries use the same piece. */
   private int countAssignedPieces() {
     int[] holders = new int[20];
-    for (Coordinator coordinator : simulation.coordinators.values()) {
-      for (PieceRange range : coordinator.pieces(simulation.nowMs)) {
+    for (String vm : simulation.coordinators.keySet()) {
+      for (PieceRange range : simulation.coordinator(vm).pieces(simulation.now(vm))) {
         IntStream.range(range.getFirst(), range.getFirst() + range.getCount())
             .forEach(piece -> holders[piece]++);
       }
@@ -72,10 +73,10 @@
     simulation.pausedVms.clear();
     assertThat(simulation.coordinator(resumed).fleetLease().mayAct(simulation.now(resumed)))
         .isFalse();
-    assertThat(simulation.coordinator(resumed).mayServe(simulation.nowMs)).isFalse();
-    assertThat(simulation.coordinator(resumed).isFenced(simulation.nowMs)).isTrue();
+    assertThat(simulation.coordinator(resumed).mayServe(simulation.now(resumed))).isFalse();
+    assertThat(simulation.coordinator(resumed).isFenced(simulation.now(resumed))).isTrue();
     simulation.runFor(1_000);
-    assertThat(simulation.coordinator(resumed).mayServe(simulation.nowMs)).isTrue();
+    assertThat(simulation.coordinator(resumed).mayServe(simulation.now(resumed))).isTrue();
     assertThat(simulation.fleetHolders()).doesNotContain(resumed);
   }
 
@@ -91,6 +92,22 @@
     assertThat(simulation.fleetHolders()).hasSize(1).doesNotContain(resumed);
   }
 
+  /**
+   * Guards against keys that are accepted after their withdrawal, and pieces that are used after
+   * their reassignment, because the monotonic clock of the entry stood still meanwhile.
+   */
+  @Test
+  void entryOfASuspendedVmIsFencedUntilItsNextContact() {
+    simulation.suspendedVms.add("vm3c");
+    simulation.runFor(60_000);
+    simulation.suspendedVms.clear();
+    Coordinator resumed = simulation.coordinator("vm3c");
+    DualTimestamp now = simulation.now("vm3c");
+    assertThat(resumed.mayServe(now)).isFalse();
+    assertThat(resumed.isFenced(now)).isTrue();
+    assertThat(resumed.pieces(now)).isEmpty();
+  }
+
   /**
    * Guards against keys that are accepted after their withdrawal while the log is unreachable, and
    * against entries that record the end of one another because of the outage.
@@ -102,7 +119,7 @@
     assertThat(simulation.countServing()).isZero();
     simulation.runFor(600_000);
     assertThat(simulation.countServing()).isZero();
-    assertThat(VMS).noneMatch(vm -> simulation.coordinator(vm).isFenced(simulation.nowMs));
+    assertThat(VMS).noneMatch(vm -> simulation.coordinator(vm).isFenced(simulation.now(vm)));
     assertThat(simulation.fleetHolders()).isEmpty();
     assertThat(countAssignedPieces()).isEqualTo(20);
     simulation.logDown = false;
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/log/LogReaderTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/log/LogReaderTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.schema.RecordBody;
 import io.samphiregauge.schema.peer.RecordAt;
 import io.samphiregauge.schema.platform.RecordsPage;
@@ -89,15 +90,30 @@
     assertThat(plan.onSubmitted().onRead(state.toCheckpoint(), true).due(state)).isEmpty();
   }
 
+  private static DualTimestamp at(long monotonicMs) {
+    return new DualTimestamp(monotonicMs, 1_000_000 + monotonicMs);
+  }
+
+  /** Guards against an entry that serves withdrawn keys because its monotonic clock stood still. */
+  @Test
+  void contactsAgeWhileTheVmIsSuspended() {
+    Freshness contact = Freshness.none().withOwnContact(at(1_000)).withPeerContact(at(1_000), 0);
+    DualTimestamp resumedAt = new DualTimestamp(1_010, at(1_010).wallMs() + 60_000);
+    assertThat(contact.isFresh(at(1_010))).isTrue();
+    assertThat(contact.isFresh(resumedAt)).isFalse();
+    assertThat(contact.withOutage(at(1_000)).isFenced(resumedAt)).isTrue();
+    assertThat(contact.withOwnContact(resumedAt).isFresh(resumedAt)).isTrue();
+  }
+
   @Test
   void anEntryIsFreshForThreeSecondsAndFencedAfterTen() {
-    Freshness contact = Freshness.none().withOwnContact(1_000);
-    assertThat(Freshness.none().isFresh(0)).isFalse();
-    assertThat(contact.isFresh(4_000)).isTrue();
-    assertThat(contact.isFresh(4_001)).isFalse();
-    assertThat(contact.isFenced(10_999)).isFalse();
-    assertThat(contact.isFenced(11_000)).isTrue();
-    assertThat(contact.withPeerContact(5_000, 2_000).isFresh(6_001)).isFalse();
+    Freshness contact = Freshness.none().withOwnContact(at(1_000));
+    assertThat(Freshness.none().isFresh(at(0))).isFalse();
+    assertThat(contact.isFresh(at(4_000))).isTrue();
+    assertThat(contact.isFresh(at(4_001))).isFalse();
+    assertThat(contact.isFenced(at(10_999))).isFalse();
+    assertThat(contact.isFenced(at(11_000))).isTrue();
+    assertThat(contact.withPeerContact(at(5_000), 2_000).isFresh(at(6_001))).isFalse();
   }
 
   /**
@@ -106,8 +122,8 @@
    */
   @Test
   void outageReportsKeepAnEntryUnfencedButNotFresh() {
-    Freshness contact = Freshness.none().withOwnContact(1_000).withOutage(12_000);
-    assertThat(contact.isFresh(12_000)).isFalse();
-    assertThat(contact.isFenced(12_000)).isFalse();
+    Freshness contact = Freshness.none().withOwnContact(at(1_000)).withOutage(at(12_000));
+    assertThat(contact.isFresh(at(12_000))).isFalse();
+    assertThat(contact.isFenced(at(12_000))).isFalse();
   }
 }
--- a/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/ControlSide.java
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/ControlSide.java
@@ -23,7 +23,6 @@
 final class ControlSide implements AutoCloseable {
   private static final Logger LOG = System.getLogger(ControlSide.class.getName());
 
-  private final Clock clock;
   private final ControlLoop loop;
   private final LogClient logClient;
   private final OrderClient orderClient;
@@ -40,11 +39,10 @@
       Optional<Address> platformAddress,
       PeerTransport peers) {
     OneShotHttpClient httpClient = new OneShotHttpClient(loops);
-    this.clock = clock;
     this.peers = peers;
     this.loop =
         new ControlLoop(clock, () -> ThreadLocalRandom.current().nextLong(), config, this::execute);
-    this.logClient = new LogClient(loops, logAddress, clock, loop);
+    this.logClient = new LogClient(loops, logAddress, loop);
     this.orderClient = new OrderClient(httpClient, platformAddress, loop);
     this.usageBatcher = new UsageBatcher(loops, loop);
     this.platformPoller =
@@ -69,7 +67,7 @@
   /** Returns the current view for the traffic threads; may be called from any thread. */
   TrafficView view() {
     ControlSnapshot snapshot = loop.snapshot();
-    boolean mayServe = snapshot.mayServe(clock.nowMs());
+    boolean mayServe = snapshot.mayServe(loop.now());
     Set<String> leavingBackends = new HashSet<>(snapshot.excludedBackends());
     platformPoller.ifPresent(poller -> leavingBackends.addAll(poller.leavingBackends()));
     return new TrafficView(
--- a/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/ControlSnapshot.java
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/ControlSnapshot.java
@@ -1,5 +1,6 @@
 package io.samphiregauge.daemon;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.control.Coordinator;
 import io.samphiregauge.core.log.FoldedState;
 import io.samphiregauge.core.member.KnownMember;
@@ -37,8 +38,8 @@
     return coordinator.map(Coordinator::state).orElseGet(FoldedState::empty);
   }
 
-  boolean mayServe(long nowMs) {
-    return coordinator.filter(control -> control.mayServe(nowMs)).isPresent();
+  boolean mayServe(DualTimestamp now) {
+    return coordinator.filter(control -> control.mayServe(now)).isPresent();
   }
 
   long nextOffset() {
--- a/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/LogClient.java
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/LogClient.java
@@ -1,7 +1,7 @@
 package io.samphiregauge.daemon;
 
 import io.netty.channel.EventLoopGroup;
-import io.samphiregauge.core.Clock;
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.control.CoordinatorEvent;
 import io.samphiregauge.core.log.LogWriter;
 import io.samphiregauge.core.result.Failure;
@@ -27,15 +27,13 @@
   private final EventLoopGroup loops;
   private final OneShotHttpClient httpClient;
   private final Address logAddress;
-  private final Clock clock;
   private final ControlLoop control;
   private volatile boolean closed;
 
-  LogClient(EventLoopGroup loops, Address logAddress, Clock clock, ControlLoop control) {
+  LogClient(EventLoopGroup loops, Address logAddress, ControlLoop control) {
     this.loops = loops;
     this.httpClient = new OneShotHttpClient(loops);
     this.logAddress = logAddress;
-    this.clock = clock;
     this.control = control;
   }
 
@@ -44,13 +42,13 @@
     if (closed) {
       return;
     }
-    long sentMs = clock.nowMs();
+    DualTimestamp sentAt = control.now();
     String path =
         RECORDS_PATH
             + "?from=%d&wait_ms=%d".formatted(control.snapshot().nextOffset(), POLL_WAIT_MS);
     httpClient
         .get(logAddress, path, READ_TIMEOUT_MS)
-        .thenAccept(response -> handlePage(sentMs, response.flatMap(LogClient::decode)));
+        .thenAccept(response -> handlePage(sentAt, response.flatMap(LogClient::decode)));
   }
 
   /** Appends records one by one; after a failed append, the rest are not sent. */
@@ -88,12 +86,12 @@
     control.post(new CoordinatorEvent.AppendCompleted(event));
   }
 
-  private void handlePage(long sentMs, Result<RecordsPage> page) {
+  private void handlePage(DualTimestamp sentAt, Result<RecordsPage> page) {
     page.failure().ifPresent(failure -> logWarning("log_unreachable", failure));
     page.value()
         .ifPresentOrElse(
             recordsPage ->
-                control.post(new CoordinatorEvent.PageRead(recordsPage, sentMs), this::poll),
+                control.post(new CoordinatorEvent.PageRead(recordsPage, sentAt), this::poll),
             () -> loops.schedule(this::poll, RETRY_DELAY_MS, TimeUnit.MILLISECONDS));
   }
 
--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/InjectionPoints.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/InjectionPoints.java
@@ -77,7 +77,7 @@
   /** Returns whether the configuration is fresh enough to serve requests with an API key. */
   @FunctionalInterface
   interface FreshnessCheck {
-    boolean isFresh(Freshness freshness, long nowMs);
+    boolean isFresh(Freshness freshness, DualTimestamp now);
   }
 
   /** Returns the process that handles a ticket. */
--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/MembershipDriver.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/MembershipDriver.java
@@ -1,5 +1,6 @@
 package io.samphiregauge.verify;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.Step;
 import io.samphiregauge.core.member.KnownMember;
 import io.samphiregauge.core.member.MemberAction;
@@ -54,14 +55,14 @@
             .map(ProcessState::getIncarnation)
             .toList();
     return new OutageReports.LocalView(
-        node.state().upToOffset(), processes, node.freshness().ownContactMs());
+        node.state().upToOffset(), processes, node.freshness().ownContactAt());
   }
 
   /** Returns the time as of which a majority is known to have no log contact, or empty. */
-  OptionalLong majorityOutageMs() {
+  Optional<DualTimestamp> majorityOutageAt() {
     return node.hasRecentLogContact()
-        ? OptionalLong.empty()
-        : outageReports.majorityOutageMs(localView(), node.nowMs());
+        ? Optional.empty()
+        : outageReports.majorityOutageAt(localView(), node.now());
   }
 
   Membership view() {
@@ -79,7 +80,7 @@
     }
     Step<OutageReports, MemberAction> step =
         outageReports.tick(
-            localView(), membership.live(), node.nowMs(), deployment.simulation.random);
+            localView(), membership.live(), node.now(), deployment.simulation.random);
     outageReports = step.state();
     step.actions().forEach(this::send);
   }
@@ -105,7 +106,7 @@
 
   private void receive(SimulatedVm from, PeerMessage message) {
     if (message instanceof OutageQuery query) {
-      OutageReport report = outageReports.respond(query, node.self, localView(), node.nowMs());
+      OutageReport report = outageReports.respond(query, node.self, localView(), node.now());
       send(from, report);
     } else if (message instanceof OutageReport report) {
       outageReports = outageReports.withReport(report, localView());
--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/PieceDriver.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/PieceDriver.java
@@ -68,7 +68,7 @@
   /** Returns the pieces that this process currently uses, according to its own state. */
   Set<Integer> usedPieces() {
     Set<Integer> pieces = new TreeSet<>();
-    boolean mayUse = !node.freshness().isFenced(node.nowMs()) && !node.state().hasEnded(node.self);
+    boolean mayUse = !node.freshness().isFenced(node.now()) && !node.state().hasEnded(node.self);
     for (PieceRange range : mayUse ? ranges() : List.<PieceRange>of()) {
       if (range.getHolder().equals(node.self)) {
         for (int i = 0; i < range.getCount(); i++) {
--- a/samphiregauge-verify/src/main/java/io/samphiregauge/verify/SimulatedNode.java
+++ b/samphiregauge-verify/src/main/java/io/samphiregauge/verify/SimulatedNode.java
@@ -45,7 +45,7 @@
   private Freshness freshness = Freshness.none();
   private CheckpointSchedule checkpointSchedule =
       CheckpointSchedule.withRetention(SimulatedLog.RETENTION_RECORDS);
-  private OptionalLong pendingReadSentMs = OptionalLong.empty();
+  private Optional<DualTimestamp> pendingReadSentAt = Optional.empty();
   private boolean hasJoined;
 
   SimulatedNode(SimulatedVm vm, SimulatedDeployment deployment) {
@@ -100,14 +100,14 @@
    */
   boolean isFresh() {
     boolean serves = hasJoined && state().isLive(self);
-    return serves && injectionPoints.freshnessCheck.isFresh(freshness, nowMs());
+    return serves && injectionPoints.freshnessCheck.isFresh(freshness, now());
   }
 
   /**
    * Returns whether log contact is recent enough that peers need not be queried about an outage.
    */
   boolean hasRecentLogContact() {
-    OptionalLong ageMs = freshness.ownContactAgeMs(nowMs());
+    OptionalLong ageMs = freshness.ownContactAgeMs(now());
     return ageMs.isPresent() && ageMs.getAsLong() <= OutageReports.CONTACT_TIMEOUT_MS;
   }
 
@@ -133,7 +133,7 @@
     runWriter(new LogWriter.Event.Tick());
     writeCheckpoint();
     membership.tick();
-    membership.majorityOutageMs().ifPresent(outageMs -> freshness = freshness.withOutage(outageMs));
+    membership.majorityOutageAt().ifPresent(outageAt -> freshness = freshness.withOutage(outageAt));
     pieces.tick();
     orders.tick();
     usage.tick();
@@ -144,29 +144,31 @@
 
   private void readLog() {
     boolean readPending =
-        pendingReadSentMs.isPresent() && nowMs() - pendingReadSentMs.getAsLong() < READ_TIMEOUT_MS;
+        pendingReadSentAt
+            .filter(sentAt -> nowMs() - sentAt.monotonicMs() < READ_TIMEOUT_MS)
+            .isPresent();
     if (readPending) {
       return;
     }
-    long sentMs = nowMs();
-    pendingReadSentMs = OptionalLong.of(sentMs);
+    DualTimestamp sentAt = now();
+    pendingReadSentAt = Optional.of(sentAt);
     if (vm.receivesFromLog()) {
       deployment.log.read(
-          reader.nextOffset(), page -> vm.runInNode(this, () -> onPage(page, sentMs)));
+          reader.nextOffset(), page -> vm.runInNode(this, () -> onPage(page, sentAt)));
     }
   }
 
-  private void onPage(RecordsPage page, long sentMs) {
+  private void onPage(RecordsPage page, DualTimestamp sentAt) {
     if (!vm.receivesFromLog()) {
       return;
     }
     applyReads(injectionPoints.pageReader.read(reader, page));
     if (reader.isCaughtUp(page)) {
-      freshness = freshness.withOwnContact(sentMs);
+      freshness = freshness.withOwnContact(sentAt);
       join();
     }
-    if (pendingReadSentMs.isPresent() && pendingReadSentMs.getAsLong() == sentMs) {
-      pendingReadSentMs = OptionalLong.empty();
+    if (pendingReadSentAt.equals(Optional.of(sentAt))) {
+      pendingReadSentAt = Optional.empty();
       readLog();
     }
   }
@@ -275,18 +277,19 @@
 
   /** Requests the state of a random peer while this process has no recent log contact. */
   private void requestPeerState() {
-    OptionalLong ageMs = freshness.ownContactAgeMs(nowMs());
+    OptionalLong ageMs = freshness.ownContactAgeMs(now());
     if (ageMs.isPresent() && ageMs.getAsLong() < PEER_REQUEST_AFTER_MS) {
       return;
     }
     SimulatedVm peer = deployment.simulation.random.pick(deployment.vms);
-    long sentMs = nowMs();
+    DualTimestamp sentAt = now();
     long knownOffset = state().upToOffset();
-    deployment.network.send(vm, peer, node -> node.sendStateTo(vm, this, knownOffset, sentMs));
+    deployment.network.send(vm, peer, node -> node.sendStateTo(vm, this, knownOffset, sentAt));
   }
 
-  private void sendStateTo(SimulatedVm to, SimulatedNode requester, long knownOffset, long sentMs) {
-    OptionalLong ageMs = freshness.ownContactAgeMs(nowMs());
+  private void sendStateTo(
+      SimulatedVm to, SimulatedNode requester, long knownOffset, DualTimestamp sentAt) {
+    OptionalLong ageMs = freshness.ownContactAgeMs(now());
     if (requester == this || ageMs.isEmpty()) {
       return;
     }
@@ -301,18 +304,18 @@
         to,
         node -> {
           if (node == requester) {
-            node.receivePeerState(reply, offset, sentMs);
+            node.receivePeerState(reply, offset, sentAt);
           }
         });
   }
 
-  private void receivePeerState(RecordsReply reply, long peerOffset, long sentMs) {
+  private void receivePeerState(RecordsReply reply, long peerOffset, DualTimestamp sentAt) {
     reply
         .getSnapshot()
         .flatMap(checkpoint -> injectionPoints.stateRestorer.restore(reader, checkpoint).value())
         .ifPresent(this::applyReads);
     if (state().upToOffset() >= peerOffset) {
-      freshness = freshness.withPeerContact(sentMs, reply.getLogContactAgeMs());
+      freshness = freshness.withPeerContact(sentAt, reply.getLogContactAgeMs());
       join();
     }
   }
--- a/samphiregauge-verify/src/test/java/io/samphiregauge/verify/InjectedFaults.java
+++ b/samphiregauge-verify/src/test/java/io/samphiregauge/verify/InjectedFaults.java
@@ -118,7 +118,7 @@
               "serve without a fresh configuration",
               MAX_SCHEDULES,
               List.of("withdrawn_key_refused"),
-              points -> points.freshnessCheck = (freshness, nowMs) -> true),
+              points -> points.freshnessCheck = (freshness, now) -> true),
           new InjectedFault(
               "drop the fencing check",
               MAX_SCHEDULES,
