Explain a blocked request with the trait that is blocked

A request refused with type crashes_servers was explained as a repeat of the same request, and the lines about its block were left out if older than 5 s. Operators could not tell from the id of a refused request which prompt part is blocked and since when. The cause now names the trait and the time until the next trial, and the context holds all lines of that trait. The new test in ExplainTest failed before (no trait in the cause) and passes.

--- a/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/RequestHistory.java
+++ b/samphiregauge-ctl/src/main/java/io/samphiregauge/ctl/RequestHistory.java
@@ -47,7 +47,9 @@
           entry("not_connected", "no connection to a server could be opened"),
           entry("server_full", "the servers rejected it"),
           entry("prefill_failed", "its prompt could not be prefilled"),
-          entry("crashes_servers", "earlier tries of the same request ended their servers"),
+          entry(
+              "crashes_servers",
+              "requests with the same prompt part or content crashed their servers"),
           entry("answer_lost", "the server's answer was lost, so it may have run"),
           entry("server_failed", "the server failed it, so it may have run"),
           entry("timeout", "its time was over"));
@@ -114,25 +116,42 @@
     return new Explanation(id, cause(), toText(requestLines), toText(context()));
   }
 
+  /**
+   * Returns the lines about the state of the request's entry and about its servers shortly before,
+   * and those about the block of its traits, which may have begun long before.
+   */
   private List<LogLine> context() {
     if (requestLines.isEmpty()) {
       return List.of();
     }
-    Set<String> servers =
-        requestLines.stream()
-            .flatMap(line -> line.field("backend").stream())
-            .collect(Collectors.toSet());
+    Set<String> servers = fieldsOfRequest("backend");
+    Set<String> blockedTraits = fieldsOfRequest("trait");
     Instant from = requestLines.get(0).time().minus(CONTEXT_WINDOW);
     Instant to = requestLines.get(requestLines.size() - 1).time();
     return processLines.stream()
-        .filter(line -> !line.time().isBefore(from) && !line.time().isAfter(to))
+        .filter(line -> !line.time().isAfter(to))
         .filter(
             line ->
-                STATE_EVENTS.contains(line.event())
-                    || line.field("backend").filter(servers::contains).isPresent())
+                hasField(line, "trait", blockedTraits)
+                    || (!line.time().isBefore(from) && isContext(line, servers)))
         .toList();
   }
 
+  private static boolean isContext(LogLine line, Set<String> servers) {
+    return STATE_EVENTS.contains(line.event()) || hasField(line, "backend", servers);
+  }
+
+  private static boolean hasField(LogLine line, String name, Set<String> values) {
+    return line.field(name).filter(values::contains).isPresent();
+  }
+
+  /** Returns the distinct values of a field in the lines of the request. */
+  private Set<String> fieldsOfRequest(String name) {
+    return requestLines.stream()
+        .flatMap(line -> line.field(name).stream())
+        .collect(Collectors.toSet());
+  }
+
   private String cause() {
     if (requestLines.isEmpty()) {
       return "The logs hold no line of this request.";
@@ -159,7 +178,13 @@
 
   private String refusalReason(LogLine line) {
     String type = line.field("type").orElse("?");
-    return Optional.ofNullable(REFUSAL_REASONS.get(type)).orElse(type);
+    String reason = Optional.ofNullable(REFUSAL_REASONS.get(type)).orElse(type);
+    return line.field("trait")
+        .map(
+            trait ->
+                "%s (%s; the next one may be tried after %s ms)"
+                    .formatted(reason, trait, line.field("retry_after_ms").orElse("?")))
+        .orElse(reason);
   }
 
   private boolean hasEvent(String event) {
--- a/samphiregauge-ctl/src/test/java/io/samphiregauge/ctl/ExplainTest.java
+++ b/samphiregauge-ctl/src/test/java/io/samphiregauge/ctl/ExplainTest.java
@@ -46,6 +46,25 @@
     assertThat(run.json().path("cause").asText()).contains("502", "may have run");
   }
 
+  /** Guards against a refusal whose cause, minutes before, cannot be found from its id. */
+  @Test
+  void namesTheTraitOfABlockedRequestAndShowsWhenItWasBlocked() throws IOException {
+    String blocked =
+        """
+        2026-12-04T09:55:00.000Z level=INFO logger=x event=trait_blocked trait=dead01
+        2026-12-04T09:55:01.000Z level=INFO logger=x event=trait_blocked trait=beef02
+        2026-12-04T10:00:00.000Z event=refused id=ab12 status=503 type=crashes_servers took_ms=1 \
+        trait=dead01 retry_after_ms=900 route=r team=t
+        """;
+    CommandRun run =
+        CommandRun.run("explain", "ab12", "--json", "--logs", log("b.log", blocked).toString());
+    assertThat(run.json().path("cause").asText())
+        .contains("503", "crashed their servers", "dead01", "900 ms");
+    assertThat(run.json().path("context").toString())
+        .contains("09:55:00.000Z", "trait=dead01")
+        .doesNotContain("beef02");
+  }
+
   @Test
   void reportsWhenTheLogsDoNotContainTheEndOfTheRequest() throws IOException {
     String truncated =
