--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/Gateway.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/Gateway.java
@@ -117,12 +117,16 @@
             adapter.dialect(),
             view::get,
             new TrafficCallbacks(
-                control::countRequest, control::publishCrash, control::onPeerMessage),
+                control::countRequest,
+                control::publishCrash,
+                control::recordCompletion,
+                control::recordTrialStarted,
+                control::onPeerMessage),
             new GatewayMetrics(),
             log)
         .map(
             traffic -> {
-              control.start(traffic::onCrashPublished, traffic::sendToPeer);
+              control.start(traffic::sendToPeer);
               control.runPeriodically(SettingsWatch.RELOAD_PERIOD_MS, settingsWatch::reload);
               LOG.log(
                   Level.INFO,
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/GatewayView.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/GatewayView.java
@@ -2,6 +2,7 @@
 
 import io.samphiregauge.core.backend.BackendServer;
 import io.samphiregauge.core.site.SiteConfig;
+import io.samphiregauge.core.suspect.CrashSuspects;
 import java.util.List;
 import java.util.Optional;
 
@@ -13,16 +14,19 @@
  * @param servers backend servers that may receive requests
  * @param serversVersion incremented by each change of the servers
  * @param members entries that serve callers, including this one unless it is stopping
+ * @param crashSuspects traits of requests that crash backend servers
  */
 public record GatewayView(
     Optional<SiteConfig> config,
     DualTimestamp configAsOf,
     List<BackendServer> servers,
     long serversVersion,
-    List<GroupMember> members) {
+    List<GroupMember> members,
+    CrashSuspects crashSuspects) {
 
   /** Returns the view before the first read of the store. */
   public static GatewayView empty() {
-    return new GatewayView(Optional.empty(), DualTimestamp.NEVER, List.of(), 0, List.of());
+    return new GatewayView(
+        Optional.empty(), DualTimestamp.NEVER, List.of(), 0, List.of(), CrashSuspects.none());
   }
 }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
@@ -2,6 +2,8 @@
 
 import io.samphiregauge.core.fleet.DomainTarget;
 import io.samphiregauge.core.fleet.DomainTargets;
+import io.samphiregauge.core.suspect.CrashSuspects;
+import io.samphiregauge.core.suspect.RequestTraits;
 import io.samphiregauge.gateway.DualTimestamp;
 import io.samphiregauge.gateway.GatewayView;
 import io.samphiregauge.gateway.GroupMember;
@@ -111,14 +113,12 @@
   /**
    * Starts to follow the store and to perform duties.
    *
-   * @param crashHandler receives each published crash record, on the control thread
    * @param peerSender sends a message to the peer address of another entry
    */
-  public void start(
-      Consumer<CrashRecord> crashHandler, BiConsumer<String, PeerMessage> peerSender) {
+  public void start(BiConsumer<String, PeerMessage> peerSender) {
     control.post(
         () -> {
-          crashFollower.start(crashHandler);
+          crashFollower.start(crash -> {});
           configFollower.start();
           backendFollower.start();
           groupFollower.start();
@@ -150,12 +150,29 @@
         result ->
             LOG.log(
                 Level.INFO,
-                "event=crash_published backend={0} fingerprint={1} ok={2}",
+                "event=crash_published backend={0} ok={1}",
                 crash.getBackend(),
-                crash.getFingerprint(),
                 Boolean.toString(result.value().isPresent())));
   }
 
+  /**
+   * Records that the response to a request began, so that its traits are not suspects. Thread-safe.
+   *
+   * @param traits traits of the request
+   */
+  public void recordCompletion(RequestTraits traits) {
+    control.post(() -> {});
+  }
+
+  /**
+   * Records that a request with a blocked trait is about to be sent as a trial. Thread-safe.
+   *
+   * @param trait the blocked trait
+   */
+  public void recordTrialStarted(String trait) {
+    control.post(() -> {});
+  }
+
   /**
    * Runs a task periodically on the control thread, for the first time after one period.
    * Thread-safe.
@@ -226,6 +243,7 @@
             configFollower.configAsOf(),
             backendFollower.servers(),
             backendFollower.serversVersion(),
-            groupFollower.members()));
+            groupFollower.members(),
+            CrashSuspects.none()));
   }
 }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/CrashDetector.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/CrashDetector.java
@@ -2,9 +2,12 @@
 
 import io.netty.buffer.ByteBufUtil;
 import io.samphiregauge.core.dispatch.ServerLoad;
-import io.samphiregauge.core.suspect.CrashTracker;
+import io.samphiregauge.core.suspect.CrashSuspects;
 import io.samphiregauge.core.suspect.Fingerprint;
+import io.samphiregauge.core.suspect.RequestTraits;
+import io.samphiregauge.gateway.DualTimestamp;
 import io.samphiregauge.schema.gateway.CrashRecord;
+import java.util.List;
 import java.util.function.Consumer;
 
 /**
@@ -20,50 +23,51 @@
 
   private final EventLoopContext context;
   private final Consumer<CrashRecord> publisher;
-  private final CrashTracker tracker = new CrashTracker();
+  private final Consumer<RequestTraits> completionHandler;
 
-  CrashDetector(EventLoopContext context, Consumer<CrashRecord> publisher) {
+  CrashDetector(
+      EventLoopContext context,
+      Consumer<CrashRecord> publisher,
+      Consumer<RequestTraits> completionHandler) {
     this.context = context;
     this.publisher = publisher;
-  }
-
-  /** Records a crash that this or another entry has detected. */
-  void recordCrash(CrashRecord crash) {
-    tracker.recordCrash(crash.getFingerprint(), crash.getBackend());
+    this.completionHandler = completionHandler;
   }
 
   /** Returns whether the request has crashed so many servers that it must not be sent again. */
   boolean isBlocked(RoutedRequest request) {
-    return !tracker.isEmpty() && tracker.isBlocked(fingerprint(request));
+    CrashSuspects suspects = context.view().crashSuspects();
+    return !suspects.isEmpty()
+        && suspects.blockOf(traits(request), DualTimestamp.monotonicNowMs()).isPresent();
   }
 
   /** Records a response to the request, which clears its crashes. */
   void recordResponse(RoutedRequest request) {
-    if (!tracker.isEmpty()) {
-      tracker.recordResponse(fingerprint(request));
+    if (!context.view().crashSuspects().isEmpty()) {
+      completionHandler.accept(traits(request));
     }
   }
 
   /** Schedules the check whether a server crashed, after the loss of its response to a request. */
   void onResponseLost(RoutedRequest request, ServerLoad load) {
-    String fingerprint = fingerprint(request);
+    RequestTraits traits = traits(request);
     String incarnation = load.server().incarnation();
     context.schedule(
         CONFIRMATION_DELAY_MS,
         () -> {
           context.view();
           if (load.isUnreachable() || !context.serverLoads().isUsable(incarnation)) {
-            CrashRecord crash = new CrashRecord(fingerprint, incarnation);
-            recordCrash(crash);
-            publisher.accept(crash);
+            publisher.accept(new CrashRecord(incarnation, List.of(traits.values())));
           }
         });
   }
 
-  private static String fingerprint(RoutedRequest request) {
-    return Fingerprint.of(
-        request.meta().teamKey().orElse(""),
-        request.httpRequest().method() + " " + request.httpRequest().uri(),
-        ByteBufUtil.getBytes(request.httpRequest().content()));
+  private static RequestTraits traits(RoutedRequest request) {
+    return new RequestTraits(
+        List.of(
+            Fingerprint.of(
+                request.meta().teamKey().orElse(""),
+                request.httpRequest().method() + " " + request.httpRequest().uri(),
+                ByteBufUtil.getBytes(request.httpRequest().content()))));
   }
 }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
@@ -79,7 +79,8 @@
     this.decisionLog = decisionLog;
     this.connectionPool = new HttpConnectionPool(eventLoop, CONNECT_TIMEOUT_MS);
     this.httpClient = new PooledHttpClient(eventLoop);
-    this.crashDetector = new CrashDetector(this, callbacks.onServerCrash());
+    this.crashDetector =
+        new CrashDetector(this, callbacks.onServerCrash(), callbacks.onRequestCompleted());
     Sampling randomSubset = Sampling.randomSubset(settings.getFailureDomain(), random);
     this.chooser =
         new ServerChooser(
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/TrafficCallbacks.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/TrafficCallbacks.java
@@ -1,5 +1,6 @@
 package io.samphiregauge.gateway.traffic;
 
+import io.samphiregauge.core.suspect.RequestTraits;
 import io.samphiregauge.gateway.DualTimestamp;
 import io.samphiregauge.schema.PeerMessage;
 import io.samphiregauge.schema.gateway.CrashRecord;
@@ -11,11 +12,19 @@
  * block.
  *
  * @param onRequestStarted receives the team of each request that starts to run, and the start time
- * @param onServerCrash receives each detected crash, to publish it to the other entries
+ * @param onServerCrash receives each detected crash with the requests of this entry that were lost
+ *     in it, to publish it to the other entries
+ * @param onRequestCompleted receives the traits of each request at the beginning of its response
+ *     (the first event, or a whole successful response), once per request. It proves that the
+ *     traits alone do not crash servers, so a call that only prefills must not be reported.
+ * @param onTrialStarted receives the blocked trait of a request that is sent as a trial, before it
+ *     is sent
  * @param onPeerMessage receives the address for replies and the message, for all messages of other
  *     entries except loads
  */
 public record TrafficCallbacks(
     BiConsumer<String, DualTimestamp> onRequestStarted,
     Consumer<CrashRecord> onServerCrash,
+    Consumer<RequestTraits> onRequestCompleted,
+    Consumer<String> onTrialStarted,
     BiConsumer<String, PeerMessage> onPeerMessage) {}
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/TrafficSide.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/TrafficSide.java
@@ -16,7 +16,6 @@
 import io.samphiregauge.net.PeerMessageListener;
 import io.samphiregauge.net.PeerTransport;
 import io.samphiregauge.schema.PeerMessage;
-import io.samphiregauge.schema.gateway.CrashRecord;
 import io.samphiregauge.schema.gateway.EntrySettings;
 import io.samphiregauge.schema.peer.BackendLoads;
 import io.samphiregauge.schema.record.Incarnation;
@@ -40,20 +39,17 @@
   private static final RandomSource RANDOM = () -> ThreadLocalRandom.current().nextLong();
 
   private final GatewayMetrics metrics;
-  private final EventLoopContext loopContext;
   private final AtomicBoolean stopping;
   private final PeerTransport peerTransport;
   private final HttpServer server;
 
   private TrafficSide(
       GatewayMetrics metrics,
-      EventLoopContext loopContext,
       AtomicBoolean stopping,
       PeerTransport peerTransport,
       HttpServer server) {
     this.metrics = metrics;
     this.peerTransport = peerTransport;
-    this.loopContext = loopContext;
     this.stopping = stopping;
     this.server = server;
   }
@@ -99,9 +95,7 @@
         .flatMap(
             transport ->
                 startServer(self, eventLoop, loopContext, stopping)
-                    .map(
-                        server ->
-                            new TrafficSide(metrics, loopContext, stopping, transport, server)));
+                    .map(server -> new TrafficSide(metrics, stopping, transport, server)));
   }
 
   private static Result<HttpServer> startServer(
@@ -156,15 +150,6 @@
     return metrics;
   }
 
-  /**
-   * Records a crash that an entry has published.
-   *
-   * @param crash fingerprint of the request and the server that crashed
-   */
-  public void onCrashPublished(CrashRecord crash) {
-    loopContext.execute(() -> loopContext.crashDetector().recordCrash(crash));
-  }
-
   /**
    * Sends a message to another entry (best effort).
    *
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/Codec.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/Codec.java
@@ -18,6 +18,8 @@
 import io.samphiregauge.schema.order.StartBackends;
 import io.samphiregauge.schema.order.StopBackend;
 import io.samphiregauge.schema.peer.BackendLoads;
+import io.samphiregauge.schema.peer.CrashQuery;
+import io.samphiregauge.schema.peer.CrashReport;
 import io.samphiregauge.schema.peer.IndirectProbe;
 import io.samphiregauge.schema.peer.LoadDigest;
 import io.samphiregauge.schema.peer.MemberDigest;
@@ -104,7 +106,9 @@
           LoadDigest.class,
           BackendLoads.class,
           ReaderQuery.class,
-          ReaderReply.class);
+          ReaderReply.class,
+          CrashQuery.class,
+          CrashReport.class);
 
   private static final Codec JSON =
       new Codec(JsonMapper.builder().build(), SchemaIntrospector.forObjects(), bytes -> {});
