Confirm crashes at once, with all requests lost in them

Callers of sound requests saw engine after engine vanish (39 crashes in 22 s of a trace): a request with a deadly prompt part was sent on within 0.3 s of the crash that it had caused, and the crash counted only 1.5 s later, under the digest of one request.

A response that is lost before its first event now starts one check of the server, which all requests lost there share: a new connection after 50 ms that is refused, or not open after 300 ms, confirms the crash; the check of the announcement after 1.5 s stays. One record per crash then names the traits of all requests of the entry that were lost there. A retryable request waits for the check and is sent on only if CrashSuspects allows it. Blocked requests are refused before each send, also after a connection was opened, and the log names the trait. Requests report their traits when a server begins to answer them, if any trait is suspected.

--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
@@ -10,6 +10,7 @@
 import io.samphiregauge.core.dispatch.ServerLoad;
 import io.samphiregauge.core.exchange.LoadExchange;
 import io.samphiregauge.core.site.EngineSpec;
+import io.samphiregauge.core.suspect.RequestTraits;
 import io.samphiregauge.gateway.DualTimestamp;
 import io.samphiregauge.gateway.GatewayView;
 import io.samphiregauge.gateway.port.Dialect;
@@ -79,8 +80,7 @@
     this.decisionLog = decisionLog;
     this.connectionPool = new HttpConnectionPool(eventLoop, CONNECT_TIMEOUT_MS);
     this.httpClient = new PooledHttpClient(eventLoop);
-    this.crashDetector =
-        new CrashDetector(this, callbacks.onServerCrash(), callbacks.onRequestCompleted());
+    this.crashDetector = new CrashDetector(this, callbacks.onServerCrash());
     Sampling randomSubset = Sampling.randomSubset(settings.getFailureDomain(), random);
     this.chooser =
         new ServerChooser(
@@ -193,6 +193,16 @@
     callbacks.onRequestStarted().accept(team, startedAt);
   }
 
+  /** Reports to the control thread that a server began to answer a request. */
+  void reportRequestCompleted(RequestTraits traits) {
+    callbacks.onRequestCompleted().accept(traits);
+  }
+
+  /** Reports to the control thread that a request with a blocked trait is sent as a trial. */
+  void reportTrialStarted(String trait) {
+    callbacks.onTrialStarted().accept(trait);
+  }
+
   void schedule(long delayMs, Runnable task) {
     eventLoop.schedule(task, delayMs, TimeUnit.MILLISECONDS);
   }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ProxyExchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ProxyExchange.java
@@ -33,9 +33,6 @@
   /** Minimum Retry-After for a request that has not run. */
   private static final long RETRY_MS = 250;
 
-  /** Retry-After for a request that has crashed several servers. */
-  private static final long BLOCKED_RETRY_MS = 5_000;
-
   /** Failed connects after which the request is refused; none of them has sent it. */
   private static final int MAX_CONNECT_FAILURES = 3;
 
@@ -46,6 +43,7 @@
   private final RetainedKvCache kvCache;
   private final RequestAccounting accounting;
   private final RequestDecisionLog log;
+  private final CrashGuard crashGuard;
   private final AttemptPlanner planner;
   private Optional<ForwardAttempt> attempt = Optional.empty();
   private Optional<ServerResponse> serverResponse = Optional.empty();
@@ -67,6 +65,7 @@
     this.planner = new AttemptPlanner(context, request, kvCache);
     this.accounting = new RequestAccounting(context, request);
     this.log = new RequestDecisionLog(context, request);
+    this.crashGuard = new CrashGuard(context, request, log);
     this.writer = new CallerResponseWriter(caller, request.route().kind().isStream());
   }
 
@@ -101,10 +100,9 @@
       fail(ErrorResponse.timedOut("No time is left to send the request."));
       return;
     }
-    if (context.crashDetector().isBlocked(request)) {
-      fail(
-          ErrorResponse.notRun(
-              "crashes_servers", "The request ends its servers.", BLOCKED_RETRY_MS));
+    Optional<ErrorResponse> refusal = crashGuard.refusal();
+    if (refusal.isPresent()) {
+      refuse(refusal.orElseThrow());
       return;
     }
     if (request.team().isPresent() && !context.router().areKeysCurrent(view, now)) {
@@ -147,6 +145,12 @@
       connection.abandon();
       return false;
     }
+    // A crash may have become known while the connection was opened.
+    Optional<ErrorResponse> refusal = crashGuard.refusal();
+    if (refusal.isPresent()) {
+      connection.abandon();
+      return refuse(refusal.orElseThrow());
+    }
     current.onSent(connection);
     if (!current.prefillOnly()) {
       sendCount++;
@@ -241,6 +245,7 @@
 
   /** Records the first evidence that a server runs the request; later calls have no effect. */
   private void recordExecutionStarted(ForwardAttempt current) {
+    crashGuard.reportBegun();
     if (accounting.recordStarted(DualTimestamp.now())) {
       log.add(
           "first_event",
@@ -307,7 +312,6 @@
       return;
     }
     current.end();
-    context.crashDetector().recordResponse(request);
     current.load().recordResponse(current.elapsedMs());
     recordExecutionStarted(current);
     current.recordRun(context.engineRates(request.service()));
@@ -317,7 +321,9 @@
 
   private void onFullResponse(ForwardAttempt current, ServerResponse response) {
     current.end();
-    context.crashDetector().recordResponse(request);
+    if (response.isSuccess()) {
+      crashGuard.reportBegun();
+    }
     if (response.isServerError()) {
       current.load().recordFailure(DualTimestamp.monotonicNowMs());
     } else {
@@ -406,12 +412,30 @@
     outcomeUnknown = true;
     // In most cases of a lost response the server has run the request, so it is counted.
     accounting.recordStarted(current.startedAt());
-    context.crashDetector().onResponseLost(request, current.load());
     kvCache.clear();
     writer.discardPartialEvent();
-    if (request.route().kind().isRetryable() && tryAcquireRetry()) {
+    if (writer.started()) {
+      continueAfterLoss(current);
+      return;
+    }
+    boolean retryable = request.route().kind().isRetryable();
+    // A retry waits for the check, since the request itself may have crashed the server.
+    crashGuard.onResponseLost(
+        current.load(), failure.message(), retryable ? () -> continueAfterLoss(current) : () -> {});
+    if (!retryable) {
+      continueAfterLoss(current);
+    }
+  }
+
+  private void continueAfterLoss(ForwardAttempt lost) {
+    if (finished) {
+      return;
+    }
+    if (request.route().kind().isRetryable()
+        && crashGuard.mayResend(lost.incarnation())
+        && tryAcquireRetry()) {
       tryNextServer();
-    } else if (!continueFromBackup(current)) {
+    } else if (!continueFromBackup(lost)) {
       fail(ErrorResponse.outcomeUnknown("answer_lost", "The server's answer was lost."));
     }
   }
@@ -462,15 +486,22 @@
     ErrorResponse finalError = mayHaveRun ? error.asOutcomeUnknown() : error.asNotRun(RETRY_MS);
     log.add(
         "refused",
-        "status=%d type=%s took_ms=%d"
-            .formatted(finalError.status(), finalError.type(), log.sinceArrivalMs()));
+        "status=%d type=%s took_ms=%d%s"
+            .formatted(
+                finalError.status(),
+                finalError.type(),
+                log.sinceArrivalMs(),
+                crashGuard.logFields()));
     context.metrics().increment("refused." + finalError.type());
     GatewayResponses.sendError(caller, finalError);
     finish();
   }
 
   private void abortResponse(String reason) {
-    log.add("stream_broken", "cause=\"%s\" took_ms=%d".formatted(reason, log.sinceArrivalMs()));
+    log.add(
+        "stream_broken",
+        "cause=\"%s\" took_ms=%d%s"
+            .formatted(reason, log.sinceArrivalMs(), crashGuard.logFields()));
     context.metrics().increment("stream_broken");
     // Events that are complete are delivered before the connection is closed.
     caller.flush();
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RoutedRequest.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RoutedRequest.java
@@ -1,11 +1,16 @@
 package io.samphiregauge.gateway.traffic;
 
+import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.samphiregauge.core.dispatch.Prompt;
 import io.samphiregauge.core.site.SiteRoute;
 import io.samphiregauge.core.site.Team;
+import io.samphiregauge.core.suspect.Fingerprint;
+import io.samphiregauge.core.suspect.RequestTraits;
 import io.samphiregauge.gateway.DualTimestamp;
 import io.samphiregauge.gateway.port.RequestMeta;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -42,6 +47,18 @@
         LOWEST_RANK, firstTeamRank + Math.min(RANKS_PER_TEAM_PRIORITY - 1, route.priority()));
   }
 
+  /** Computes the traits by which other requests that crash the same servers are recognised. */
+  RequestTraits crashTraits() {
+    List<String> values = new ArrayList<>();
+    prompt.ifPresent(known -> known.sharedParts().forEach(part -> values.add(part.id())));
+    values.add(
+        Fingerprint.of(
+            meta.teamKey().orElse(""),
+            httpRequest.method() + " " + httpRequest.uri(),
+            ByteBufUtil.getBytes(httpRequest.content())));
+    return new RequestTraits(values);
+  }
+
   /** Returns the identifier of the caller's attempt for log lines, or {@code -}. */
   String attemptId() {
     return meta.attemptId().orElse("-");
