Attribute crashes of servers to prompt parts, and tell all entries directly

Cause: CrashTracker recognised only repeats of a whole request, while no two of these are alike; crashes reached other entries only through the store. Change: CrashAttribution counts crashes per trait (shared prompt part, or digest of the request) and blocks the trait that explains them; CrashExchange sends crashes and completions to all members, and a started entry asks two members for their blocks. The store remains the second way. Traffic still reports whole requests only; that side follows.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerChooser.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerChooser.java
@@ -1,5 +1,6 @@
 package io.samphiregauge.core.dispatch;
 
+import io.samphiregauge.core.RendezvousHash;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -117,7 +118,10 @@
   private static Optional<ServerLoad> preferredEngine(Prompt prompt, List<ServerLoad> servers) {
     List<ServerLoad> prefilling =
         servers.stream().filter(load -> load.server().prefillOnly()).toList();
-    return RendezvousHash.select(prompt.affinityKey(), prefilling.isEmpty() ? servers : prefilling);
+    return RendezvousHash.select(
+        prompt.affinityKey(),
+        prefilling.isEmpty() ? servers : prefilling,
+        load -> load.server().id());
   }
 
   private static PromptPlan plan(
@@ -200,7 +204,8 @@
         engines.stream()
             .filter(load -> !load.server().domain().equals(runner.server().domain()))
             .toList();
-    return RendezvousHash.select(runId, outside.isEmpty() ? engines : outside);
+    return RendezvousHash.select(
+        runId, outside.isEmpty() ? engines : outside, load -> load.server().id());
   }
 
   private static double baseCost(ServerLoad load, String preferredDomain) {
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
@@ -1,26 +1,21 @@
 package io.samphiregauge.gateway.control;
 
+import io.samphiregauge.core.RandomSource;
 import io.samphiregauge.core.fleet.DomainTarget;
 import io.samphiregauge.core.fleet.DomainTargets;
-import io.samphiregauge.core.suspect.CrashSuspects;
 import io.samphiregauge.core.suspect.RequestTraits;
 import io.samphiregauge.gateway.DualTimestamp;
 import io.samphiregauge.gateway.GatewayView;
 import io.samphiregauge.gateway.GroupMember;
 import io.samphiregauge.gateway.port.FleetApi;
 import io.samphiregauge.gateway.port.SharedStore;
-import io.samphiregauge.gateway.port.StoreRecord;
 import io.samphiregauge.gateway.port.StoreValueDecoder;
-import io.samphiregauge.gateway.port.Topic;
-import io.samphiregauge.net.Codec;
 import io.samphiregauge.schema.PeerMessage;
 import io.samphiregauge.schema.gateway.CrashRecord;
 import io.samphiregauge.schema.gateway.EntrySettings;
-import java.lang.System.Logger;
-import java.lang.System.Logger.Level;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
@@ -32,15 +27,15 @@
 public final class GatewayControl implements AutoCloseable {
   private static final long MS_PER_S = 1_000;
 
-  private static final Logger LOG = System.getLogger(GatewayControl.class.getName());
+  private static final RandomSource RANDOM = () -> ThreadLocalRandom.current().nextLong();
 
   private final ControlThread control = new ControlThread();
 
-  private final SharedStore store;
   private final ConfigFollower configFollower;
   private final BackendFollower backendFollower;
   private final GroupFollower groupFollower;
   private final CrashFollower crashFollower;
+  private final CrashExchange crashExchange;
   private final ReaderExchange readerExchange;
   private final UsageRecorder usageRecorder;
   private final Optional<DutyWorker> dutyWorker;
@@ -64,7 +59,6 @@
       Optional<FleetApi> fleet,
       Consumer<GatewayView> viewPublisher) {
     this.viewPublisher = viewPublisher;
-    this.store = store;
     this.configFollower =
         new ConfigFollower(
             control,
@@ -85,6 +79,8 @@
             this::publishView);
     this.crashFollower =
         new CrashFollower(control, store, () -> groupFollower.members().size(), this::isQueried);
+    this.crashExchange =
+        new CrashExchange(control, store, self, groupFollower::members, RANDOM, this::publishView);
     this.readerExchange =
         new ReaderExchange(
             control,
@@ -118,11 +114,12 @@
   public void start(BiConsumer<String, PeerMessage> peerSender) {
     control.post(
         () -> {
-          crashFollower.start(crash -> {});
+          crashFollower.start(crashExchange::recordStored);
           configFollower.start();
           backendFollower.start();
           groupFollower.start();
           readerExchange.start(peerSender);
+          crashExchange.start(peerSender);
           usageRecorder.start();
           dutyWorker.ifPresent(DutyWorker::start);
         });
@@ -135,24 +132,20 @@
    * @param message the message
    */
   public void onPeerMessage(String from, PeerMessage message) {
-    control.post(() -> readerExchange.onPeerMessage(from, message));
+    control.post(
+        () -> {
+          readerExchange.onPeerMessage(from, message);
+          crashExchange.onPeerMessage(from, message);
+        });
   }
 
   /**
-   * Publishes to all entries that a backend server terminated while running a request. Thread-safe.
+   * Publishes to all entries that a backend server terminated while running requests. Thread-safe.
    *
-   * @param crash the request and its server
+   * @param crash the requests and their server
    */
   public void publishCrash(CrashRecord crash) {
-    StoreRecord record = new StoreRecord("", Optional.of(Codec.json().encode(crash)));
-    control.onResult(
-        store.appender().append(Topic.CRASHES, record, OptionalLong.empty()),
-        result ->
-            LOG.log(
-                Level.INFO,
-                "event=crash_published backend={0} ok={1}",
-                crash.getBackend(),
-                Boolean.toString(result.value().isPresent())));
+    control.post(() -> crashExchange.publish(crash));
   }
 
   /**
@@ -161,7 +154,7 @@
    * @param traits traits of the request
    */
   public void recordCompletion(RequestTraits traits) {
-    control.post(() -> {});
+    control.post(() -> crashExchange.recordCompletion(traits));
   }
 
   /**
@@ -170,7 +163,7 @@
    * @param trait the blocked trait
    */
   public void recordTrialStarted(String trait) {
-    control.post(() -> {});
+    control.post(() -> crashExchange.recordTrialStarted(trait));
   }
 
   /**
@@ -244,6 +237,6 @@
             backendFollower.servers(),
             backendFollower.serversVersion(),
             groupFollower.members(),
-            CrashSuspects.none()));
+            crashExchange.suspects()));
   }
 }
