Resume streams that had begun, whatever part they share with crashes

A stream that was lost after its first event was resumed only if CrashSuspects allowed it. A request that a server began to answer has not crashed it, so sound streams that shared the first part of crashing requests would have broken off although their route lets them resume.

Part identifiers of more than 128 characters are left out of the traits: a crash report with 128 such requests would exceed the frame of 1 MiB between entries.

--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ProxyExchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ProxyExchange.java
@@ -431,9 +431,9 @@
     if (finished) {
       return;
     }
-    if (request.route().kind().isRetryable()
-        && crashGuard.mayResend(lost.incarnation())
-        && tryAcquireRetry()) {
+    // A request that a server began to answer has not crashed it.
+    boolean mayResend = writer.started() || crashGuard.mayResend(lost.incarnation());
+    if (request.route().kind().isRetryable() && mayResend && tryAcquireRetry()) {
       tryNextServer();
     } else if (!continueFromBackup(lost)) {
       fail(ErrorResponse.outcomeUnknown("answer_lost", "The server's answer was lost."));
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RoutedRequest.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RoutedRequest.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.samphiregauge.core.dispatch.Prompt;
+import io.samphiregauge.core.dispatch.PromptPart;
 import io.samphiregauge.core.site.SiteRoute;
 import io.samphiregauge.core.site.Team;
 import io.samphiregauge.core.suspect.Fingerprint;
@@ -40,6 +41,9 @@
 
   private static final int LOWEST_RANK = 9;
 
+  /** Limits the size of a crash report; parts with longer identifiers are only in the digest. */
+  private static final int MAX_PART_ID_CHARS = 128;
+
   /** Returns the rank in the queue of an engine, from 0, the most urgent, to 9. */
   int rank() {
     int firstTeamRank = team.map(Team::priority).orElse(0) * RANKS_PER_TEAM_PRIORITY;
@@ -50,7 +54,12 @@
   /** Computes the traits by which other requests that crash the same servers are recognised. */
   RequestTraits crashTraits() {
     List<String> values = new ArrayList<>();
-    prompt.ifPresent(known -> known.sharedParts().forEach(part -> values.add(part.id())));
+    prompt.ifPresent(
+        known ->
+            known.sharedParts().stream()
+                .map(PromptPart::id)
+                .filter(id -> id.length() <= MAX_PART_ID_CHARS)
+                .forEach(values::add));
     values.add(
         Fingerprint.of(
             meta.teamKey().orElse(""),
