Move received responses and log fields out of ProxyExchange

The responses of servers to one request are now in ReceivedResponses, and the fields of its log lines in RequestDecisionLog. Behaviour is unchanged.

--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ProxyExchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ProxyExchange.java
@@ -45,12 +45,8 @@
   private final RequestDecisionLog log;
   private final CrashGuard crashGuard;
   private final AttemptPlanner planner;
+  private final ReceivedResponses responses;
   private Optional<ForwardAttempt> attempt = Optional.empty();
-  private Optional<ServerResponse> serverResponse = Optional.empty();
-
-  /** First error response from a server, relayed if no later attempt gets a better one. */
-  private Optional<ServerResponse> failureResponse = Optional.empty();
-
   private int sendCount;
   private int connectFailures;
   private boolean continued;
@@ -61,6 +57,7 @@
     this.context = context;
     this.caller = caller;
     this.request = request;
+    this.responses = new ReceivedResponses(context, caller.alloc());
     this.kvCache = new RetainedKvCache(context);
     this.planner = new AttemptPlanner(context, request, kvCache);
     this.accounting = new RequestAccounting(context, request);
@@ -100,9 +97,7 @@
       fail(ErrorResponse.timedOut("No time is left to send the request."));
       return;
     }
-    Optional<ErrorResponse> refusal = crashGuard.refusal();
-    if (refusal.isPresent()) {
-      refuse(refusal.orElseThrow());
+    if (crashGuard.refusal().map(this::refuse).isPresent()) {
       return;
     }
     if (request.team().isPresent() && !context.router().areKeysCurrent(view, now)) {
@@ -146,10 +141,9 @@
       return false;
     }
     // A crash may have become known while the connection was opened.
-    Optional<ErrorResponse> refusal = crashGuard.refusal();
-    if (refusal.isPresent()) {
+    if (crashGuard.refusal().map(this::refuse).isPresent()) {
       connection.abandon();
-      return refuse(refusal.orElseThrow());
+      return false;
     }
     current.onSent(connection);
     if (!current.prefillOnly()) {
@@ -201,20 +195,13 @@
         return;
       }
       if (part instanceof HttpResponse head) {
-        ServerResponse next =
-            new ServerResponse(
-                head,
-                context.dialect().responseParser().apply(head),
-                caller.alloc(),
-                context.bufferBudget());
-        serverResponse.ifPresent(ServerResponse::release);
-        serverResponse = Optional.of(next);
+        responses.begin(head);
       }
       if (part instanceof HttpContent content) {
-        onContent(current, serverResponse.orElseThrow(), content.content());
+        onContent(current, responses.current(), content.content());
       }
       if (part instanceof LastHttpContent && !finished && !current.ended()) {
-        onResponseComplete(current, serverResponse.orElseThrow());
+        onResponseComplete(current, responses.current());
       }
     } finally {
       ReferenceCountUtil.release(part);
@@ -247,9 +234,7 @@
   private void recordExecutionStarted(ForwardAttempt current) {
     crashGuard.reportBegun();
     if (accounting.recordStarted(DualTimestamp.now())) {
-      log.add(
-          "first_event",
-          "took_ms=%d since_ms=%d".formatted(current.elapsedMs(), log.sinceArrivalMs()));
+      log.addFirstEvent(current);
       current.recordPrefilled();
       current.recordFirstToken(context.engineRates(request.service()));
       current.load().recordResponse(current.elapsedMs());
@@ -276,13 +261,8 @@
   }
 
   private void onPrefilled(ForwardAttempt current, ServerResponse response) {
-    byte[] body = new byte[response.body().readableBytes()];
-    response.body().readBytes(body);
     current.end();
-    Optional<String> handle =
-        response.isSuccess()
-            ? context.dialect().kvHandleParser().apply(body).value()
-            : Optional.empty();
+    Optional<String> handle = response.readKvHandle(context.dialect());
     if (handle.isEmpty()) {
       onPrefillFailed(current, "status " + response.status());
       return;
@@ -340,7 +320,9 @@
       log.add(
           "repeat",
           "backend=%s cause=status_%d".formatted(current.incarnation(), response.status()));
-      saveFailureResponse(response);
+      // The request has run, so later errors must not deny it.
+      outcomeUnknown = true;
+      responses.saveFailure();
       tryNextServer();
       return;
     }
@@ -362,15 +344,6 @@
     finish();
   }
 
-  /** Saves the first error response. The request has run, so later errors must not deny it. */
-  private void saveFailureResponse(ServerResponse response) {
-    outcomeUnknown = true;
-    if (failureResponse.isEmpty() && !response.isUnconfirmedRejection()) {
-      failureResponse = serverResponse;
-      serverResponse = Optional.empty();
-    }
-  }
-
   private void onRejected(ForwardAttempt current, ServerResponse response) {
     current.end();
     if (response.isMisdirected()) {
@@ -401,10 +374,7 @@
     current.abandon();
     current.load().recordFailure(DualTimestamp.monotonicNowMs());
     planner.exclude(current.incarnation());
-    log.add(
-        "answer_lost",
-        "backend=%s cause=\"%s\" begun=%b"
-            .formatted(current.incarnation(), failure.message(), writer.started()));
+    log.addLost(current, failure, writer.started());
     if (current.prefillOnly()) {
       onPrefillFailed(current, failure.type());
       return;
@@ -418,10 +388,10 @@
       continueAfterLoss(current);
       return;
     }
-    boolean retryable = request.route().kind().isRetryable();
     // A retry waits for the check, since the request itself may have crashed the server.
-    crashGuard.onResponseLost(
-        current.load(), failure.message(), retryable ? () -> continueAfterLoss(current) : () -> {});
+    boolean retryable = request.route().kind().isRetryable();
+    Runnable onChecked = retryable ? () -> continueAfterLoss(current) : () -> {};
+    crashGuard.onResponseLost(current.load(), failure.message(), onChecked);
     if (!retryable) {
       continueAfterLoss(current);
     }
@@ -447,10 +417,8 @@
    * @return whether another engine was asked to continue
    */
   private boolean continueFromBackup(ForwardAttempt lost) {
-    if (continued || !writer.started() || lost.backup().isEmpty()) {
-      return false;
-    }
-    if (!context.tryAcquireRetry(request.service())) {
+    boolean mayContinue = !continued && writer.started() && lost.backup().isPresent();
+    if (!mayContinue || !context.tryAcquireRetry(request.service())) {
       return false;
     }
     Optional<ForwardAttempt> continuation = planner.continueFromBackup(lost);
@@ -478,30 +446,20 @@
       abortResponse(error.message());
       return;
     }
-    if (failureResponse.isPresent()) {
-      relayFullResponse(failureResponse.orElseThrow());
+    if (responses.failure().isPresent()) {
+      relayFullResponse(responses.failure().orElseThrow());
       return;
     }
     boolean mayHaveRun = inProgress || outcomeUnknown;
     ErrorResponse finalError = mayHaveRun ? error.asOutcomeUnknown() : error.asNotRun(RETRY_MS);
-    log.add(
-        "refused",
-        "status=%d type=%s took_ms=%d%s"
-            .formatted(
-                finalError.status(),
-                finalError.type(),
-                log.sinceArrivalMs(),
-                crashGuard.logFields()));
+    log.addRefused(finalError, crashGuard.logFields());
     context.metrics().increment("refused." + finalError.type());
     GatewayResponses.sendError(caller, finalError);
     finish();
   }
 
   private void abortResponse(String reason) {
-    log.add(
-        "stream_broken",
-        "cause=\"%s\" took_ms=%d%s"
-            .formatted(reason, log.sinceArrivalMs(), crashGuard.logFields()));
+    log.addStreamBroken(reason, crashGuard.logFields());
     context.metrics().increment("stream_broken");
     // Events that are complete are delivered before the connection is closed.
     caller.flush();
@@ -512,10 +470,7 @@
   private void finish() {
     finished = true;
     freeUnusedKvCache();
-    serverResponse.ifPresent(ServerResponse::release);
-    serverResponse = Optional.empty();
-    failureResponse.ifPresent(ServerResponse::release);
-    failureResponse = Optional.empty();
+    responses.release();
     writer.release();
     request.httpRequest().release();
   }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RequestDecisionLog.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RequestDecisionLog.java
@@ -1,6 +1,7 @@
 package io.samphiregauge.gateway.traffic;
 
 import io.samphiregauge.core.dispatch.ServerLoad;
+import io.samphiregauge.core.result.Failure;
 import io.samphiregauge.core.site.Team;
 import io.samphiregauge.gateway.DualTimestamp;
 import java.util.Optional;
@@ -49,6 +50,50 @@
     add(attempt.prefillOnly() ? "prefill" : "forward", fields);
   }
 
+  /** Logs the first event of the response. */
+  void addFirstEvent(ForwardAttempt attempt) {
+    add("first_event", "took_ms=%d since_ms=%d".formatted(attempt.elapsedMs(), sinceArrivalMs()));
+  }
+
+  /**
+   * Logs that the response of a server was lost.
+   *
+   * @param attempt the attempt that has ended
+   * @param failure why the response was lost
+   * @param begun whether the caller has received a part of the response
+   */
+  void addLost(ForwardAttempt attempt, Failure failure, boolean begun) {
+    add(
+        "answer_lost",
+        "backend=%s cause=\"%s\" begun=%b"
+            .formatted(attempt.incarnation(), failure.message(), begun));
+  }
+
+  /**
+   * Logs that the request ends with an error of this entry.
+   *
+   * @param error the error that is sent
+   * @param moreFields further fields, with a leading space
+   */
+  void addRefused(ErrorResponse error, String moreFields) {
+    add(
+        "refused",
+        "status=%d type=%s took_ms=%d%s"
+            .formatted(error.status(), error.type(), sinceArrivalMs(), moreFields));
+  }
+
+  /**
+   * Logs that the response is broken off after its begin.
+   *
+   * @param reason why it cannot go on
+   * @param moreFields further fields, with a leading space
+   */
+  void addStreamBroken(String reason, String moreFields) {
+    add(
+        "stream_broken",
+        "cause=\"%s\" took_ms=%d%s".formatted(reason, sinceArrivalMs(), moreFields));
+  }
+
   private static String incarnationOf(Optional<ServerLoad> load) {
     return load.map(known -> known.server().incarnation()).orElse("-");
   }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServerResponse.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServerResponse.java
@@ -5,8 +5,10 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.samphiregauge.gateway.port.Dialect;
 import io.samphiregauge.gateway.port.ResponseMeta;
 import java.util.Locale;
+import java.util.Optional;
 
 /** A response of a backend server while it is being received. */
 final class ServerResponse {
@@ -105,4 +107,11 @@
     reservedBytes = 0;
     body.release();
   }
+
+  /** Reads the handle of the KV cache from the body; empty if the server failed to prefill. */
+  Optional<String> readKvHandle(Dialect dialect) {
+    byte[] bytes = new byte[body.readableBytes()];
+    body.readBytes(bytes);
+    return isSuccess() ? dialect.kvHandleParser().apply(bytes).value() : Optional.empty();
+  }
 }
