Block deadly parts in bursts, and disprove false blocks at once

Change: crashes of a burst count separately once other requests complete for 1.5 s and none with the trait; a trait that completed before is not blocked while parts without completions explain its crashes; reported completions are taken to be earlier by the transit; a new block is announced, and entries with later completions disprove it. A request is not resent once it was lost twice.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/BlockState.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/BlockState.java
@@ -86,7 +86,7 @@
   }
 
   TraitBlock toMessage(long nowMs) {
-    return new TraitBlock(trait, nowMs - startedAtMs, durationMs);
+    return new TraitBlock(trait, nowMs - startedAtMs, durationMs, nowMs - evidenceFromMs);
   }
 
   private long expiresAtMs() {
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/CompletionHistory.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/CompletionHistory.java
@@ -30,6 +30,7 @@
     private long count;
     private long ownMs = NEVER;
     private long reportedMs = NEVER;
+    private long lastReportAtMs = NEVER;
   }
 
   /** Records a completion of this entry. */
@@ -40,9 +41,10 @@
   }
 
   /** Records a completion that an entry, possibly this one, has reported to all entries. */
-  void recordReported(String trait, long completedAtMs) {
+  void recordReported(String trait, long completedAtMs, long nowMs) {
     Completions completions = byTrait.computeIfAbsent(trait, key -> new Completions());
     completions.count++;
+    completions.lastReportAtMs = nowMs;
     completions.reportedMs = Math.max(completions.reportedMs, completedAtMs);
   }
 
@@ -61,6 +63,11 @@
     return find(trait).map(c -> c.reportedMs).orElse(NEVER);
   }
 
+  /** Returns the time of the last report about a trait, or {@link #NEVER}. */
+  long lastReportAtMs(String trait) {
+    return find(trait).map(c -> c.lastReportAtMs).orElse(NEVER);
+  }
+
   /** Returns the number of completions that this entry knows. */
   long count(String trait) {
     return find(trait).map(c -> c.count).orElse(0L);
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/CrashAttribution.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/CrashAttribution.java
@@ -44,6 +44,25 @@
    */
   static final long SIMULTANEOUS_MS = 200;
 
+  /**
+   * Time for which requests with other traits complete, and none with the trait, after which
+   * servers that crashed together count separately. Requests with a common sound part complete
+   * within this time once any do. The platform tolerates 3 s after the fifth crash.
+   */
+  static final long OTHERS_COMPLETE_MS = 1_500;
+
+  /** Longest time between two completions while servers work; a lost server takes longer. */
+  private static final long MAX_COMPLETION_GAP_MS = 1_000;
+
+  /** Crashes from which a trait without completions may become the cause of its crashes. */
+  private static final int MIN_CRASHES_OF_LIKELY_CAUSE = 2;
+
+  /**
+   * Longest transit of a message. A reported completion is taken to be earlier by this time, so
+   * that one from before a crash does not seem to disprove it.
+   */
+  private static final long MAX_TRANSIT_MS = 300;
+
   /** Capacity in crashes; the ones that were recorded first are evicted. */
   static final int MAX_EVENTS = 128;
 
@@ -69,7 +88,16 @@
   private final Map<String, CrashEvent> events = boundedMap(MAX_EVENTS);
   private final Map<String, BlockState> blocks = boundedMap(MAX_BLOCKS);
   private final CompletionHistory completions = new CompletionHistory();
+  private List<CrashEvent> unexplained = List.of();
   private Map<String, Suspect> suspects = new HashMap<>();
+
+  /** Traits in many crashes, with the value of {@link #activeMs} when that was seen. */
+  private final Map<String, Long> activeMsAtManyCrashes = new HashMap<>();
+
+  /** Time in total during which requests completed one after another. */
+  private long activeMs;
+
+  private long newestCompletionMs = CompletionHistory.NEVER;
   private boolean stale;
 
   /**
@@ -97,9 +125,13 @@
     private final String trait;
     private final long completedAtMs;
     private final Map<String, Integer> groupsByServer = new HashMap<>();
-    private final List<CrashEvent> lastGroup = new ArrayList<>();
+    private final Map<String, Integer> crashesByRequest = new HashMap<>();
     private int groups;
+    private long groupStartMs;
+    private int crashesOfGroup;
+    private int crashes;
     private int position;
+    private long manyCrashesAtMs = Long.MAX_VALUE;
     private long firstSeenAtMs;
     private long lastSeenAtMs;
 
@@ -113,32 +145,46 @@
       if (groups == 0) {
         firstSeenAtMs = event.seenAtMs();
       }
-      if (!isSimultaneous(event)) {
+      if (groups == 0 || event.seenAtMs() - groupStartMs > SIMULTANEOUS_MS) {
         groups++;
-        lastGroup.clear();
+        groupStartMs = event.seenAtMs();
+        crashesOfGroup = 0;
+        crashesByRequest.clear();
       }
-      lastGroup.add(event);
+      int crashesBefore = crashesOfGroup;
+      // A request that crashed several servers has crashed them one after another, however fast.
+      event
+          .digestsOf(trait)
+          .forEach(digest -> crashesOfGroup = Math.max(crashesOfGroup, countCrash(digest)));
+      crashes += crashesOfGroup - crashesBefore;
       groupsByServer.put(event.server(), groups);
       position = Math.max(position, event.position(trait));
+      if (groupsByServer.size() == MIN_CRASHES_AFTER_COMPLETION) {
+        manyCrashesAtMs = Math.min(manyCrashesAtMs, event.seenAtMs());
+      }
       lastSeenAtMs = event.seenAtMs();
     }
 
-    private boolean isSimultaneous(CrashEvent event) {
-      return !lastGroup.isEmpty()
-          && event.seenAtMs() - lastGroup.get(0).seenAtMs() <= SIMULTANEOUS_MS
-          && lastGroup.stream().noneMatch(event::sharesRequestWith);
+    private int countCrash(String digest) {
+      return crashesByRequest.merge(digest, 1, Integer::sum);
     }
 
     private boolean hasCompleted() {
       return completedAtMs != CompletionHistory.NEVER;
     }
 
+    /** Returns the number of crashes, where servers that crashed together count once. */
     private int countCrashes() {
-      return groups;
+      // The servers that a request with a sound part was sent to may have been lost together.
+      return hasCompleted() ? groups : crashes;
+    }
+
+    private boolean isInManyCrashes() {
+      return manyCrashesAtMs != Long.MAX_VALUE;
     }
 
     private boolean isCause() {
-      return groups >= (hasCompleted() ? MIN_CRASHES_AFTER_COMPLETION : MIN_CRASHES);
+      return countCrashes() >= (hasCompleted() ? MIN_CRASHES_AFTER_COMPLETION : MIN_CRASHES);
     }
   }
 
@@ -185,6 +231,7 @@
    */
   public List<String> recordCompletion(RequestTraits traits, long nowMs) {
     List<String> concerned = new ArrayList<>();
+    observeCompletion(nowMs);
     for (String trait : traits.values()) {
       boolean isConcerned = suspects.containsKey(trait) || blocks.containsKey(trait) || stale;
       boolean isDigest = trait.equals(traits.digest());
@@ -208,8 +255,9 @@
    */
   public void recordReportedCompletions(Collection<TraitCompletion> reported, long nowMs) {
     for (TraitCompletion completion : reported) {
-      long completedAtMs = nowMs - Math.max(0, completion.getAgeMs());
-      completions.recordReported(completion.getTrait(), completedAtMs);
+      long completedAtMs = nowMs - Math.max(0, completion.getAgeMs()) - MAX_TRANSIT_MS;
+      completions.recordReported(completion.getTrait(), completedAtMs, nowMs);
+      observeCompletion(completedAtMs);
       applyCompletion(completion.getTrait(), completedAtMs, true);
     }
   }
@@ -251,7 +299,7 @@
     for (String trait : traits) {
       long ownMs = completions.newestOwnMs(trait);
       if (ownMs != CompletionHistory.NEVER && isWorthReporting(trait, ownMs)) {
-        completions.recordReported(trait, ownMs);
+        completions.recordReported(trait, ownMs, nowMs);
         result.add(new TraitCompletion(trait, nowMs - ownMs));
       }
     }
@@ -266,10 +314,37 @@
             .mapToLong(CrashEvent::seenAtMs)
             .max()
             .orElse(Long.MAX_VALUE);
-    boolean disprovesCrash = ownMs > crashedAtMs && reportedMs <= crashedAtMs;
+    // Receivers take a completion to be earlier by the transit, so only a later one convinces them.
+    boolean isFirst = completions.lastReportAtMs(trait) <= crashedAtMs;
+    boolean disprovesCrash =
+        reportedMs <= crashedAtMs && ownMs > crashedAtMs + (isFirst ? 0 : MAX_TRANSIT_MS);
     return disprovesCrash || ownMs - reportedMs >= MIN_REPORT_ADVANCE_MS;
   }
 
+  /**
+   * Returns completions of this entry that disprove blocks of another entry, which has missed the
+   * reports about them. Assumes that the caller reports them.
+   *
+   * @param announced the blocks
+   * @param receivedAtMs time at which they were received; later reports make this one superfluous
+   * @param nowMs current time
+   * @return the completions to report
+   */
+  public List<TraitCompletion> completionsDisproving(
+      Collection<TraitBlock> announced, long receivedAtMs, long nowMs) {
+    List<TraitCompletion> result = new ArrayList<>();
+    for (TraitBlock block : announced) {
+      String trait = block.getTrait();
+      long ownMs = completions.newestOwnMs(trait);
+      if (ownMs > receivedAtMs - block.getEvidenceAgeMs()
+          && completions.lastReportAtMs(trait) < receivedAtMs) {
+        completions.recordReported(trait, ownMs, nowMs);
+        result.add(new TraitCompletion(trait, nowMs - ownMs));
+      }
+    }
+    return result;
+  }
+
   /**
    * Records blocks of an entry that this entry has asked after its start.
    *
@@ -281,10 +356,11 @@
       String trait = message.getTrait();
       long startedAtMs = nowMs - Math.max(0, message.getAgeMs());
       long durationMs = Math.min(BlockState.MAX_DURATION_MS, Math.max(1, message.getDurationMs()));
-      BlockState block = new BlockState(trait, startedAtMs, durationMs, startedAtMs);
+      BlockState block =
+          new BlockState(trait, startedAtMs, durationMs, nowMs - message.getEvidenceAgeMs());
       boolean isOlder =
           blocks.containsKey(trait) && blocks.get(trait).trialAtMs() >= block.trialAtMs();
-      if (isOlder || block.isExpired(nowMs) || completions.newestMs(trait) > startedAtMs) {
+      if (isOlder || block.isExpired(nowMs) || block.isDisprovedBy(completions.newestMs(trait))) {
         continue;
       }
       blocks.put(trait, block);
@@ -313,24 +389,26 @@
   public void update(long nowMs) {
     events.values().removeIf(event -> nowMs - event.seenAtMs() >= EVENT_TTL_MS);
     blocks.entrySet().removeIf(entry -> expire(entry.getKey(), entry.getValue(), nowMs));
-    if (!stale) {
-      return;
+    if (stale) {
+      countCrashes();
     }
-    stale = false;
-    List<CrashEvent> unexplained = new ArrayList<>(events.values());
-    unexplained.removeIf(event -> blocks.keySet().stream().anyMatch(event::contains));
-    unexplained.sort(Comparator.comparingLong(CrashEvent::seenAtMs));
-    suspects = countCrashes(unexplained);
+    observeManyCrashes();
     Optional<Suspect> cause = findCause();
     while (cause.isPresent()) {
-      String trait = cause.get().trait;
       block(cause.get(), nowMs);
-      unexplained.removeIf(event -> event.contains(trait));
-      suspects = countCrashes(unexplained);
+      countCrashes();
       cause = findCause();
     }
   }
 
+  /**
+   * Returns whether {@link #update} is to be called again soon, because it will decide on a trait
+   * once more time has passed.
+   */
+  public boolean isUndecided() {
+    return suspects.values().stream().anyMatch(Suspect::isInManyCrashes);
+  }
+
   private boolean expire(String trait, BlockState block, long nowMs) {
     if (!block.isExpired(nowMs)) {
       return false;
@@ -341,21 +419,71 @@
     return true;
   }
 
-  private Map<String, Suspect> countCrashes(List<CrashEvent> unexplained) {
-    Map<String, Suspect> result = new HashMap<>();
+  /** Counts the crashes of each trait that no blocked trait explains. */
+  private void countCrashes() {
+    unexplained = new ArrayList<>(events.values());
+    unexplained.removeIf(event -> blocks.keySet().stream().anyMatch(event::contains));
+    unexplained.sort(Comparator.comparingLong(CrashEvent::seenAtMs));
+    suspects = new HashMap<>();
     for (CrashEvent event : unexplained) {
       for (String trait : event.traits()) {
         long completedAtMs = completions.newestMs(trait);
         if (event.seenAtMs() > completedAtMs) {
-          result.computeIfAbsent(trait, key -> new Suspect(key, completedAtMs)).add(event);
+          suspects.computeIfAbsent(trait, key -> new Suspect(key, completedAtMs)).add(event);
         }
       }
     }
-    return result;
+    stale = false;
+  }
+
+  private void observeCompletion(long completedAtMs) {
+    long gapMs = completedAtMs - newestCompletionMs;
+    if (gapMs > 0) {
+      activeMs += gapMs <= MAX_COMPLETION_GAP_MS ? gapMs : 0;
+      newestCompletionMs = completedAtMs;
+    }
+  }
+
+  private void observeManyCrashes() {
+    activeMsAtManyCrashes
+        .keySet()
+        .removeIf(trait -> !suspects.containsKey(trait) || !suspects.get(trait).isInManyCrashes());
+    suspects.values().stream()
+        .filter(Suspect::isInManyCrashes)
+        .forEach(suspect -> activeMsAtManyCrashes.putIfAbsent(suspect.trait, activeMs));
   }
 
   private Optional<Suspect> findCause() {
-    return suspects.values().stream().filter(Suspect::isCause).min(MOST_SUSPECT_FIRST);
+    return suspects.values().stream()
+        .filter(suspect -> suspect.isCause() || isAvoidedByCompletions(suspect))
+        .filter(suspect -> !suspect.hasCompleted() || !isExplainedByOthers(suspect))
+        .min(MOST_SUSPECT_FIRST);
+  }
+
+  /** Returns whether others complete, so that the crashes were no loss of all servers at once. */
+  private boolean isAvoidedByCompletions(Suspect suspect) {
+    return suspect.isInManyCrashes()
+        && activeMs - activeMsAtManyCrashes.getOrDefault(suspect.trait, activeMs)
+            >= OTHERS_COMPLETE_MS;
+  }
+
+  /**
+   * Returns whether most crashes of a trait contain a prompt part that never completed and may be
+   * their cause. Several deadly parts have few crashes each while their common part has many.
+   */
+  private boolean isExplainedByOthers(Suspect suspect) {
+    return unexplained.stream()
+            .filter(event -> suspect.groupsByServer.containsKey(event.server()))
+            .filter(event -> event.traits().stream().noneMatch(this::isLikelyCause))
+            .count()
+        < MIN_CRASHES_AFTER_COMPLETION;
+  }
+
+  private boolean isLikelyCause(String trait) {
+    return Optional.ofNullable(suspects.get(trait))
+        .filter(other -> !other.hasCompleted() && other.position < RequestTraits.MAX_TRAITS)
+        .filter(other -> other.groupsByServer.size() >= MIN_CRASHES_OF_LIKELY_CAUSE)
+        .isPresent();
   }
 
   private void block(Suspect cause, long nowMs) {
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/CrashEvent.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/CrashEvent.java
@@ -1,6 +1,7 @@
 package io.samphiregauge.core.suspect;
 
 import io.samphiregauge.schema.gateway.CrashRecord;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -14,6 +15,7 @@
 
   private final String server;
   private final Map<String, RequestTraits> requestsByDigest = new LinkedHashMap<>();
+  private final Map<String, List<String>> digestsByTrait = new HashMap<>();
   private final Map<String, Integer> positions = new HashMap<>();
   private long seenAtMs;
 
@@ -39,6 +41,12 @@
         for (int i = 0; i < request.parts().size(); i++) {
           positions.merge(request.parts().get(i), i, Math::max);
         }
+        Set.copyOf(request.values())
+            .forEach(
+                trait ->
+                    digestsByTrait
+                        .computeIfAbsent(trait, key -> new ArrayList<>())
+                        .add(request.digest()));
         positions.put(request.digest(), RequestTraits.MAX_TRAITS);
       }
     }
@@ -71,8 +79,8 @@
     return positions.getOrDefault(trait, 0);
   }
 
-  /** Returns whether one request was lost in both crashes, so that they are separate ones. */
-  boolean sharesRequestWith(CrashEvent other) {
-    return requestsByDigest.keySet().stream().anyMatch(other.requestsByDigest::containsKey);
+  /** Returns the digests of the lost requests with a trait. */
+  List<String> digestsOf(String trait) {
+    return digestsByTrait.getOrDefault(trait, List.of());
   }
 }
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/CrashSuspects.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/CrashSuspects.java
@@ -55,6 +55,10 @@
    *     the same time have the same number
    */
   record SuspectedTrait(boolean completed, Map<String, Integer> groupsByServer) {
+    private boolean wasLostOnOther(String server) {
+      return groupsByServer.keySet().stream().anyMatch(other -> !other.equals(server));
+    }
+
     private long countOtherCrashes(String server) {
       Optional<Integer> own = Optional.ofNullable(groupsByServer.get(server));
       return groupsByServer.values().stream()
@@ -129,9 +133,10 @@
   }
 
   /**
-   * Returns whether a request whose server crashed may be sent to another server. It may not if one
-   * of its traits is a likely cause: a trait that never completed and was lost in another crash, or
-   * any trait that was lost in several other ones.
+   * Returns whether a request whose server crashed may be sent to another server. It may not if it
+   * was lost on another server before, or if one of its traits is a likely cause: a trait that
+   * never completed and was lost in another crash, or any trait that was lost in several other
+   * ones. Servers that crashed at the same time count once for a prompt part.
    *
    * @param traits traits of the request
    * @param server incarnation of the server that crashed while running it
@@ -149,6 +154,9 @@
       if (otherCrashes > MAX_OTHER_CRASHES || (otherCrashes > 0 && !suspect.completed())) {
         return false;
       }
+      if (trait.equals(traits.digest()) && suspect.wasLostOnOther(server)) {
+        return false;
+      }
     }
     return true;
   }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/CrashExchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/CrashExchange.java
@@ -17,6 +17,7 @@
 import io.samphiregauge.schema.peer.CrashQuery;
 import io.samphiregauge.schema.peer.CrashReport;
 import io.samphiregauge.schema.peer.RecentCrash;
+import io.samphiregauge.schema.peer.TraitBlock;
 import io.samphiregauge.schema.peer.TraitCompletion;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
@@ -44,14 +45,17 @@
   /** Time for which events are collected before crashes are counted and reported. */
   private static final long UPDATE_DELAY_MS = 20;
 
+  /** Time between two decisions while crashes go on that are not explained yet. */
+  private static final long UNDECIDED_PERIOD_MS = 100;
+
   /** A report is repeated once, because the transport drops messages while a connection fails. */
   private static final long REPEAT_DELAY_MS = 1_000;
 
   /**
-   * Bound of the random delay of reports of completions. All entries know completions of common
-   * prompt parts; the first report stops the others.
+   * Bound of the random delay of reports that many entries could send, such as completions of
+   * common prompt parts. The first report stops the others.
    */
-  private static final int MAX_COMPLETION_DELAY_MS = 150;
+  private static final int MAX_REPORT_DELAY_MS = 150;
 
   /** Time between two queries after the start, until enough members have answered. */
   private static final long QUERY_PERIOD_MS = 200;
@@ -65,8 +69,9 @@
   private final Supplier<List<GroupMember>> members;
   private final RandomSource random;
   private final Runnable onChange;
-  private final CrashAttribution attribution = new CrashAttribution(CrashExchange::logChange);
+  private final CrashAttribution attribution = new CrashAttribution(this::onAttributionChange);
   private final List<UnsentCrash> unsent = new ArrayList<>();
+  private final Set<String> unannouncedBlocks = new HashSet<>();
   private final Set<String> unreportedTraits = new LinkedHashSet<>();
   private final Set<String> answeredBy = new HashSet<>();
   private BiConsumer<String, PeerMessage> peerSender = (address, message) -> {};
@@ -200,7 +205,9 @@
 
   private void onReport(String from, CrashReport report) {
     long nowMs = DualTimestamp.monotonicNowMs();
-    if (report.isAnswer() && answeredBy.add(from)) {
+    if (!report.isAnswer()) {
+      onBlocksAnnounced(report.getBlocks(), nowMs);
+    } else if (answeredBy.add(from)) {
       attribution.recordReportedBlocks(report.getBlocks(), nowMs);
     }
     attribution.recordReportedCompletions(report.getCompletions(), nowMs);
@@ -210,6 +217,42 @@
     updateLater();
   }
 
+  /** Tells the other entries which announced blocks the completions of this entry disprove. */
+  private void onBlocksAnnounced(List<TraitBlock> blocks, long receivedAtMs) {
+    if (blocks.isEmpty()) {
+      return;
+    }
+    blocks.forEach(block -> unannouncedBlocks.remove(block.getTrait()));
+    control.schedule(
+        random.nextIndex(MAX_REPORT_DELAY_MS),
+        () ->
+            reportCompletions(
+                attribution.completionsDisproving(
+                    blocks, receivedAtMs, DualTimestamp.monotonicNowMs())));
+  }
+
+  /** Announces a block, so that entries with completions that this one missed can disprove it. */
+  private void announceLater(String trait) {
+    unannouncedBlocks.add(trait);
+    control.schedule(
+        random.nextIndex(MAX_REPORT_DELAY_MS),
+        () -> {
+          List<TraitBlock> blocks =
+              attribution.blocksToReport(DualTimestamp.monotonicNowMs()).stream()
+                  .filter(block -> unannouncedBlocks.remove(block.getTrait()))
+                  .toList();
+          if (!blocks.isEmpty()) {
+            sendToAll(new CrashReport(false, List.of(), List.of(), blocks));
+          }
+        });
+  }
+
+  private void reportCompletions(List<TraitCompletion> completions) {
+    if (!completions.isEmpty()) {
+      sendToAll(new CrashReport(false, List.of(), completions, List.of()));
+    }
+  }
+
   private boolean record(CrashRecord crash, long seenAtMs, long nowMs, String source) {
     List<RequestTraits> lost =
         crash.getRequests().stream()
@@ -241,24 +284,26 @@
       return;
     }
     control.schedule(
-        random.nextIndex(MAX_COMPLETION_DELAY_MS),
+        random.nextIndex(MAX_REPORT_DELAY_MS),
         () -> {
           List<TraitCompletion> completions =
               attribution.completionsToReport(unreportedTraits, DualTimestamp.monotonicNowMs());
           unreportedTraits.clear();
-          if (!completions.isEmpty()) {
-            sendToAll(new CrashReport(false, List.of(), completions, List.of()));
-          }
+          reportCompletions(completions);
         });
   }
 
   private void updateLater() {
+    updateLater(UPDATE_DELAY_MS);
+  }
+
+  private void updateLater(long delayMs) {
     if (updateScheduled) {
       return;
     }
     updateScheduled = true;
     control.schedule(
-        UPDATE_DELAY_MS,
+        delayMs,
         () -> {
           updateScheduled = false;
           reportCrashes();
@@ -268,6 +313,9 @@
             published = current;
             onChange.run();
           }
+          if (attribution.isUndecided()) {
+            updateLater(UNDECIDED_PERIOD_MS);
+          }
         });
   }
 
@@ -299,6 +347,13 @@
     return members.get().stream().filter(member -> !member.equals(self)).toList();
   }
 
+  private void onAttributionChange(AttributionChange change) {
+    logChange(change);
+    if (change instanceof AttributionChange.Blocked blocked && !blocked.byPeer()) {
+      announceLater(blocked.trait());
+    }
+  }
+
   private static void logChange(AttributionChange change) {
     if (change instanceof AttributionChange.Blocked blocked) {
       LOG.log(
