--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
@@ -11,6 +11,7 @@
 import io.samphiregauge.core.dispatch.ServerLoad;
 import io.samphiregauge.core.exchange.LoadExchange;
 import io.samphiregauge.core.site.EngineSpec;
+import io.samphiregauge.core.suspect.RequestTraits;
 import io.samphiregauge.gateway.GatewayView;
 import io.samphiregauge.gateway.port.Dialect;
 import io.samphiregauge.net.Address;
@@ -193,6 +194,16 @@
     callbacks.onRequestStarted().accept(team, startedAt);
   }
 
+  /** Reports to the control thread that a server began to answer a request. */
+  void reportRequestCompleted(RequestTraits traits) {
+    callbacks.onRequestCompleted().accept(traits);
+  }
+
+  /** Reports to the control thread that a request with a blocked trait is sent as a trial. */
+  void reportTrialStarted(String trait) {
+    callbacks.onTrialStarted().accept(trait);
+  }
+
   void schedule(long delayMs, Runnable task) {
     eventLoop.schedule(task, delayMs, TimeUnit.MILLISECONDS);
   }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ProxyExchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ProxyExchange.java
@@ -33,9 +33,6 @@
   /** Minimum Retry-After for a request that has not run. */
   private static final long RETRY_MS = 250;
 
-  /** Retry-After for a request that has crashed several servers. */
-  private static final long BLOCKED_RETRY_MS = 5_000;
-
   /** Failed connects after which the request is refused; none of them has sent it. */
   private static final int MAX_CONNECT_FAILURES = 3;
 
@@ -46,13 +43,10 @@
   private final RetainedKvCache kvCache;
   private final RequestAccounting accounting;
   private final RequestDecisionLog log;
+  private final CrashGuard crashGuard;
   private final AttemptPlanner planner;
+  private final ReceivedResponses responses;
   private Optional<ForwardAttempt> attempt = Optional.empty();
-  private Optional<ServerResponse> serverResponse = Optional.empty();
-
-  /** First error response from a server, relayed if no later attempt gets a better one. */
-  private Optional<ServerResponse> failureResponse = Optional.empty();
-
   private int sendCount;
   private int connectFailures;
   private boolean continued;
@@ -63,10 +57,12 @@
     this.context = context;
     this.caller = caller;
     this.request = request;
+    this.responses = new ReceivedResponses(context, caller.alloc());
     this.kvCache = new RetainedKvCache(context);
     this.planner = new AttemptPlanner(context, request, kvCache);
     this.accounting = new RequestAccounting(context, request);
     this.log = new RequestDecisionLog(context, request);
+    this.crashGuard = new CrashGuard(context, request, log);
     this.writer = new CallerResponseWriter(caller, request.route().kind().isStream());
   }
 
@@ -101,10 +97,7 @@
       fail(ErrorResponse.timedOut("No time is left to send the request."));
       return;
     }
-    if (context.crashDetector().isBlocked(request)) {
-      fail(
-          ErrorResponse.notRun(
-              "crashes_servers", "The request ends its servers.", BLOCKED_RETRY_MS));
+    if (crashGuard.refusal().map(this::refuse).isPresent()) {
       return;
     }
     if (request.team().isPresent() && !context.router().areKeysCurrent(view, now)) {
@@ -147,6 +140,11 @@
       connection.abandon();
       return false;
     }
+    // A crash may have become known while the connection was opened.
+    if (crashGuard.refusal().map(this::refuse).isPresent()) {
+      connection.abandon();
+      return false;
+    }
     current.onSent(connection);
     if (!current.prefillOnly()) {
       sendCount++;
@@ -197,20 +195,13 @@
         return;
       }
       if (part instanceof HttpResponse head) {
-        ServerResponse next =
-            new ServerResponse(
-                head,
-                context.dialect().responseParser().apply(head),
-                caller.alloc(),
-                context.bufferBudget());
-        serverResponse.ifPresent(ServerResponse::release);
-        serverResponse = Optional.of(next);
+        responses.begin(head);
       }
       if (part instanceof HttpContent content) {
-        onContent(current, serverResponse.orElseThrow(), content.content());
+        onContent(current, responses.current(), content.content());
       }
       if (part instanceof LastHttpContent && !finished && !current.ended()) {
-        onResponseComplete(current, serverResponse.orElseThrow());
+        onResponseComplete(current, responses.current());
       }
     } finally {
       ReferenceCountUtil.release(part);
@@ -241,10 +232,9 @@
 
   /** Records the first evidence that a server runs the request; later calls have no effect. */
   private void recordExecutionStarted(ForwardAttempt current) {
+    crashGuard.reportBegun();
     if (accounting.recordStarted(DualTimestamp.now())) {
-      log.add(
-          "first_event",
-          "took_ms=%d since_ms=%d".formatted(current.elapsedMs(), log.sinceArrivalMs()));
+      log.addFirstEvent(current);
       current.recordPrefilled();
       current.recordFirstToken(context.engineRates(request.service()));
       current.load().recordResponse(current.elapsedMs());
@@ -271,13 +261,8 @@
   }
 
   private void onPrefilled(ForwardAttempt current, ServerResponse response) {
-    byte[] body = new byte[response.body().readableBytes()];
-    response.body().readBytes(body);
     current.end();
-    Optional<String> handle =
-        response.isSuccess()
-            ? context.dialect().kvHandleParser().apply(body).value()
-            : Optional.empty();
+    Optional<String> handle = response.readKvHandle(context.dialect());
     if (handle.isEmpty()) {
       onPrefillFailed(current, "status " + response.status());
       return;
@@ -307,7 +292,6 @@
       return;
     }
     current.end();
-    context.crashDetector().recordResponse(request);
     current.load().recordResponse(current.elapsedMs());
     recordExecutionStarted(current);
     current.recordRun(context.engineRates(request.service()));
@@ -317,7 +301,9 @@
 
   private void onFullResponse(ForwardAttempt current, ServerResponse response) {
     current.end();
-    context.crashDetector().recordResponse(request);
+    if (response.isSuccess()) {
+      crashGuard.reportBegun();
+    }
     if (response.isServerError()) {
       current.load().recordFailure(DualTimestamp.monotonicNowMs());
     } else {
@@ -334,7 +320,9 @@
       log.add(
           "repeat",
           "backend=%s cause=status_%d".formatted(current.incarnation(), response.status()));
-      saveFailureResponse(response);
+      // The request has run, so later errors must not deny it.
+      outcomeUnknown = true;
+      responses.saveFailure();
       tryNextServer();
       return;
     }
@@ -356,15 +344,6 @@
     finish();
   }
 
-  /** Saves the first error response. The request has run, so later errors must not deny it. */
-  private void saveFailureResponse(ServerResponse response) {
-    outcomeUnknown = true;
-    if (failureResponse.isEmpty() && !response.isUnconfirmedRejection()) {
-      failureResponse = serverResponse;
-      serverResponse = Optional.empty();
-    }
-  }
-
   private void onRejected(ForwardAttempt current, ServerResponse response) {
     current.end();
     if (response.isMisdirected()) {
@@ -395,10 +374,7 @@
     current.abandon();
     current.load().recordFailure(DualTimestamp.monotonicNowMs());
     planner.exclude(current.incarnation());
-    log.add(
-        "answer_lost",
-        "backend=%s cause=\"%s\" begun=%b"
-            .formatted(current.incarnation(), failure.message(), writer.started()));
+    log.addLost(current, failure, writer.started());
     if (current.prefillOnly()) {
       onPrefillFailed(current, failure.type());
       return;
@@ -406,12 +382,30 @@
     outcomeUnknown = true;
     // In most cases of a lost response the server has run the request, so it is counted.
     accounting.recordStarted(current.startedAt());
-    context.crashDetector().onResponseLost(request, current.load());
     kvCache.clear();
     writer.discardPartialEvent();
-    if (request.route().kind().isRetryable() && tryAcquireRetry()) {
+    if (writer.started()) {
+      continueAfterLoss(current);
+      return;
+    }
+    // A retry waits for the check, since the request itself may have crashed the server.
+    boolean retryable = request.route().kind().isRetryable();
+    Runnable onChecked = retryable ? () -> continueAfterLoss(current) : () -> {};
+    crashGuard.onResponseLost(current.load(), failure.message(), onChecked);
+    if (!retryable) {
+      continueAfterLoss(current);
+    }
+  }
+
+  private void continueAfterLoss(ForwardAttempt lost) {
+    if (finished) {
+      return;
+    }
+    // A request that a server began to answer has not crashed it.
+    boolean mayResend = writer.started() || crashGuard.mayResend(lost.incarnation());
+    if (request.route().kind().isRetryable() && mayResend && tryAcquireRetry()) {
       tryNextServer();
-    } else if (!continueFromBackup(current)) {
+    } else if (!continueFromBackup(lost)) {
       fail(ErrorResponse.outcomeUnknown("answer_lost", "The server's answer was lost."));
     }
   }
@@ -423,10 +417,8 @@
    * @return whether another engine was asked to continue
    */
   private boolean continueFromBackup(ForwardAttempt lost) {
-    if (continued || !writer.started() || lost.backup().isEmpty()) {
-      return false;
-    }
-    if (!context.tryAcquireRetry(request.service())) {
+    boolean mayContinue = !continued && writer.started() && lost.backup().isPresent();
+    if (!mayContinue || !context.tryAcquireRetry(request.service())) {
       return false;
     }
     Optional<ForwardAttempt> continuation = planner.continueFromBackup(lost);
@@ -454,23 +446,20 @@
       abortResponse(error.message());
       return;
     }
-    if (failureResponse.isPresent()) {
-      relayFullResponse(failureResponse.orElseThrow());
+    if (responses.failure().isPresent()) {
+      relayFullResponse(responses.failure().orElseThrow());
       return;
     }
     boolean mayHaveRun = inProgress || outcomeUnknown;
     ErrorResponse finalError = mayHaveRun ? error.asOutcomeUnknown() : error.asNotRun(RETRY_MS);
-    log.add(
-        "refused",
-        "status=%d type=%s took_ms=%d"
-            .formatted(finalError.status(), finalError.type(), log.sinceArrivalMs()));
+    log.addRefused(finalError, crashGuard.logFields());
     context.metrics().increment("refused." + finalError.type());
     GatewayResponses.sendError(caller, finalError);
     finish();
   }
 
   private void abortResponse(String reason) {
-    log.add("stream_broken", "cause=\"%s\" took_ms=%d".formatted(reason, log.sinceArrivalMs()));
+    log.addStreamBroken(reason, crashGuard.logFields());
     context.metrics().increment("stream_broken");
     // Events that are complete are delivered before the connection is closed.
     caller.flush();
@@ -481,10 +470,7 @@
   private void finish() {
     finished = true;
     freeUnusedKvCache();
-    serverResponse.ifPresent(ServerResponse::release);
-    serverResponse = Optional.empty();
-    failureResponse.ifPresent(ServerResponse::release);
-    failureResponse = Optional.empty();
+    responses.release();
     writer.release();
     request.httpRequest().release();
   }
