Ignore the late answer to a write of the duty lease that was replaced

No claim is made while a write is pending, and an accepted write whose offset is below the newest observed one is ignored. The new case of DutyLeaseTest fails without the change.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/duty/DutyLease.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/duty/DutyLease.java
@@ -107,12 +107,16 @@
   }
 
   /**
-   * Records that a write was accepted. The lease counts from the send time of the write.
+   * Records that a write was accepted. The lease counts from the send time of the write. The late
+   * answer to a write that a newer one has replaced is ignored, as it would bring back its token.
    *
    * @param write the write
    * @param endOffset end offset of the register after the write
    */
   public void onWriteAccepted(Write write, long endOffset) {
+    if (lastObserved.map(last -> endOffset < last.endOffset()).orElse(false)) {
+      return;
+    }
     lastObserved =
         Optional.of(new Observation(Optional.of(write.value()), endOffset, write.sentAt()));
     tenure = Optional.of(new Tenure(write.value().getToken(), write.sentAt(), leaseMs - marginMs));
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/duty/DutyLeaseTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/duty/DutyLeaseTest.java
@@ -125,6 +125,23 @@
     assertThat(claim.value().getToken()).isEqualTo(41);
   }
 
+  /**
+   * Guards against an older token that comes back with the late answer to a claim, after a second
+   * claim of the same process was accepted.
+   */
+  @Test
+  void lateAnswerToAnOlderClaimDoesNotBringItsTokenBack() {
+    DutyLease lease = newLease("a");
+    lease.onRead(Optional.empty(), 0, at(100));
+    DutyLease.Write first = lease.prepareClaim(at(100)).orElseThrow();
+    lease.onRead(Optional.of(first.value()), 1, at(700));
+    DutyLease.Write second = lease.prepareClaim(at(700)).orElseThrow();
+    lease.onWriteAccepted(second, 2);
+    lease.onWriteAccepted(first, 1);
+    assertThat(lease.tenure().orElseThrow().token()).isEqualTo(second.value().getToken());
+    assertThat(lease.token()).isEqualTo(second.value().getToken());
+  }
+
   /** Guards against an outdated read of the register that replaces a newer record. */
   @Test
   void ignoresAnOlderRead() {
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
@@ -202,7 +202,8 @@
             records -> {
               lease.onRead(findLeaseRecord(records), records.nextOffset(), clock.get());
               tenure.set(lease.tenure());
-              if (!stopped) {
+              // The answer to a write that is pending may still grant the lease.
+              if (!stopped && !writePending) {
                 lease
                     .prepareClaim(clock.get())
                     .ifPresent(write -> writeLease(write, this::onClaimed));
