--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/CrashEvent.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/CrashEvent.java
@@ -32,7 +32,8 @@
    * @return whether the event changed
    */
   boolean add(List<RequestTraits> lost, long atMs) {
-    boolean changed = atMs < seenAtMs;
+    // Repeated reports differ by their transit, which changes nothing in the counts.
+    boolean changed = seenAtMs - atMs > CrashAttribution.SIMULTANEOUS_MS;
     seenAtMs = Math.min(seenAtMs, atMs);
     for (RequestTraits request : lost) {
       if (requestsByDigest.size() < MAX_REQUESTS
