Keep following a topic after a record that cannot be handled

A follower scheduled its next read only after its handler had returned. A handler that threw ended the follower for the life of the process: later announcements, configurations or crash records were never seen. Followers now log the exception and go on with the next offset, since the same records would fail again; crash records are handled one by one.

No record is known that makes the present handlers throw.

--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/ControlThread.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/ControlThread.java
@@ -65,7 +65,12 @@
         .thenAccept(result -> post(() -> handler.accept(result)));
   }
 
-  private static void runAndLogFailure(Runnable event) {
+  /**
+   * Runs a task whose failure must not keep the caller from going on.
+   *
+   * @param event the task; if it throws, the exception is logged
+   */
+  static void runAndLogFailure(Runnable event) {
     try {
       event.run();
     } catch (RuntimeException e) {
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/CrashFollower.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/CrashFollower.java
@@ -142,7 +142,7 @@
     if (offset < nextOffset) {
       return;
     }
-    crashHandler.accept(crash);
+    ControlThread.runAndLogFailure(() -> crashHandler.accept(crash));
     recent.addLast(new OffsetRecord(offset, crash));
     if (recent.size() > MAX_RECENT) {
       recent.removeFirst();
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/TopicFollower.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/TopicFollower.java
@@ -109,7 +109,7 @@
     result.fold(
         page -> {
           onReadSucceeded();
-          snapshotHandler.accept(page.records(), requestedAt);
+          handle(snapshotHandler, page.records(), requestedAt);
           nextOffset = page.nextOffset();
           scheduleRead(requestedAt);
           return true;
@@ -147,12 +147,20 @@
       readSnapshot();
       return true;
     }
-    changeHandler.accept(records.records(), requestedAt);
+    handle(changeHandler, records.records(), requestedAt);
     nextOffset = records.nextOffset();
     scheduleRead(requestedAt);
     return true;
   }
 
+  /** Passes on records. If they cannot be handled, reading them again would not help. */
+  private static void handle(
+      BiConsumer<List<StoreRecord>, DualTimestamp> handler,
+      List<StoreRecord> records,
+      DualTimestamp requestedAt) {
+    ControlThread.runAndLogFailure(() -> handler.accept(records, requestedAt));
+  }
+
   private boolean scheduleRetry(Failure failure, Runnable read) {
     if (!failing) {
       failing = true;
