Wait for the lease and raise the token if its record is unreadable

The lease now keeps the newest record that could be read, waits for a whole lease after an unreadable one, and claims a token above the end offset of the topic. Each claim is a write, so no token in use is greater.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/duty/DutyLease.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/duty/DutyLease.java
@@ -24,8 +24,16 @@
   private Optional<Observation> lastObserved = Optional.empty();
   private long heldUntilMs = Long.MIN_VALUE;
 
-  /** The register as last read or written, and the monotonic time at which that was observed. */
-  private record Observation(Optional<DutyRecord> value, long endOffset, long observedAtMs) {}
+  /**
+   * The register as last read or written, and the monotonic time at which that was observed.
+   *
+   * @param value the newest record that could be read
+   * @param readable whether that is the record in the register
+   * @param endOffset end offset of the register
+   * @param observedAtMs monotonic time of the observation
+   */
+  private record Observation(
+      Optional<DutyRecord> value, boolean readable, long endOffset, long observedAtMs) {}
 
   /**
    * A conditional write to the register.
@@ -55,7 +63,7 @@
    * Handles the result of a read. Results that are older than the last observation are ignored; if
    * another process has written the record, this process no longer holds the lease.
    *
-   * @param value record in the register, or empty before the first write
+   * @param value record in the register; empty before the first write, or if it cannot be read
    * @param endOffset end offset of the register
    * @param nowMs current monotonic time
    */
@@ -65,7 +73,8 @@
     }
     boolean unchanged = lastObserved.map(last -> last.endOffset() == endOffset).orElse(false);
     if (!unchanged) {
-      lastObserved = Optional.of(new Observation(value, endOffset, nowMs));
+      lastObserved =
+          Optional.of(new Observation(value.or(this::latest), value.isPresent(), endOffset, nowMs));
       if (!value.map(this::isOwn).orElse(false)) {
         heldUntilMs = Long.MIN_VALUE;
       }
@@ -80,7 +89,7 @@
    */
   public void onWriteAccepted(Write write, long endOffset) {
     lastObserved =
-        Optional.of(new Observation(Optional.of(write.value()), endOffset, write.sentMs()));
+        Optional.of(new Observation(Optional.of(write.value()), true, endOffset, write.sentMs()));
     heldUntilMs = write.sentMs() + leaseMs - marginMs;
   }
 
@@ -104,7 +113,7 @@
     return lastObserved.flatMap(Observation::value).map(DutyRecord::getToken).orElse(NO_TOKEN);
   }
 
-  /** Returns the newest known record. */
+  /** Returns the newest known record that could be read. */
   public Optional<DutyRecord> latest() {
     return lastObserved.flatMap(Observation::value);
   }
@@ -118,7 +127,7 @@
   public Optional<Write> prepareClaim(long nowMs) {
     return lastObserved
         .filter(last -> isFree(last, nowMs))
-        .map(last -> new Write(claimRecord(last.value()), last.endOffset(), nowMs));
+        .map(last -> new Write(claimRecord(last), last.endOffset(), nowMs));
   }
 
   /**
@@ -140,7 +149,10 @@
     }
     // An earlier process of this VM must have ended, and the conditional write fails if another VM
     // claims the lease first.
-    boolean ownVm = observed.value().map(value -> value.getHolder().equals(vm)).orElse(true);
+    boolean ownVm =
+        observed.readable()
+            ? observed.value().filter(value -> value.getHolder().equals(vm)).isPresent()
+            : observed.endOffset() == 0;
     return ownVm || nowMs - observed.observedAtMs() >= leaseMs;
   }
 
@@ -148,11 +160,17 @@
     return value.getHolder().equals(vm) && value.getBoot() == startMs;
   }
 
-  private DutyRecord claimRecord(Optional<DutyRecord> previous) {
+  private DutyRecord claimRecord(Observation observed) {
+    Optional<DutyRecord> previous = observed.value();
+    long knownToken = previous.map(DutyRecord::getToken).orElse(NO_TOKEN);
+    // Each claim is a write, so the end offset is not below the token of a record that cannot be
+    // read.
+    long newestToken =
+        observed.readable() ? knownToken : Math.max(knownToken, observed.endOffset());
     return new DutyRecord(
         vm,
         startMs,
-        previous.map(DutyRecord::getToken).orElse(NO_TOKEN) + 1,
+        newestToken + 1,
         previous.map(DutyRecord::getTick).orElse(0L) + 1,
         previous.map(DutyRecord::getSealed).orElse(List.of()),
         previous.map(DutyRecord::getReportedWindow).orElse(0L));
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/duty/DutyLeaseTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/duty/DutyLeaseTest.java
@@ -3,8 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.samphiregauge.schema.gateway.DutyRecord;
+import io.samphiregauge.schema.gateway.SealedUsage;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import net.jqwik.api.ForAll;
@@ -65,6 +67,40 @@
     assertThat(lease.token()).isEqualTo(4);
   }
 
+  /**
+   * Guards against a claim with a token that was used before, and before the end of the lease of
+   * the current holder, if the record cannot be read. Each token took at least one write, so the
+   * end offset is not below any token.
+   */
+  @Test
+  void unreadableRecordIsClaimedAfterAWholeLeaseWithAGreaterToken() {
+    DutyLease restarted = newLease("b");
+    restarted.onRead(Optional.empty(), 8, 1_000);
+    assertThat(restarted.prepareClaim(1_000 + LEASE_MS - 1)).isEmpty();
+    DutyLease.Write claim = restarted.prepareClaim(1_000 + LEASE_MS).orElseThrow();
+    assertThat(claim.expectedEndOffset()).isEqualTo(8);
+    assertThat(claim.value().getToken()).isGreaterThan(8);
+  }
+
+  /**
+   * Guards against reporting usage again, with other counts, after a record that cannot be read.
+   */
+  @Test
+  void unreadableRecordKeepsWhatIsKnownOfTheWindows() {
+    SealedUsage sealed = new SealedUsage(17, Map.of("team", 4L));
+    DutyLease holder = newLease("a");
+    holder.onRead(Optional.of(new DutyRecord("a", 0, 4, 9, List.of(sealed), 16)), 7, 100);
+    DutyLease.Write own = holder.prepareClaim(100).orElseThrow();
+    holder.onWriteAccepted(own, 8);
+    holder.onRead(Optional.empty(), 9, 200);
+    assertThat(holder.isHeld(201)).isFalse();
+    assertThat(holder.prepareClaim(200 + LEASE_MS - 1)).isEmpty();
+    DutyRecord next = holder.prepareClaim(200 + LEASE_MS).orElseThrow().value();
+    assertThat(next.getToken()).isGreaterThan(9);
+    assertThat(next.getSealed()).containsExactly(sealed);
+    assertThat(next.getReportedWindow()).isEqualTo(16);
+  }
+
   /** A simulated entry whose clock is offset from the simulated time by a constant. */
   private static final class Entry {
     final DutyLease lease;
