Ignore usage windows far ahead and missing counts

A usage record with windows far in the future pushed the present windows out of the aggregator, so that the holder reported no counts for them. A count of null threw out of the handler of the page: the other records of that page were lost, and so was that renewal of the lease. Windows more than three ahead of the clock, and counts that are missing or not positive, are now ignored, and a record that cannot be merged is logged.

Evidence: the two new cases of UsageAggregatorTest failed on the unchanged code (the first through a two-argument merge without the bound); its seven tests pass.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/duty/UsageAggregator.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/duty/UsageAggregator.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.TreeMap;
 
@@ -57,13 +58,19 @@
    * Merges the counts of another process.
    *
    * @param record usage record of the process
+   * @param newestWindow windows after this one are ignored, because they would replace the present
+   *     ones
    */
-  public void merge(UsageRecord record) {
+  public void merge(UsageRecord record, long newestWindow) {
     ProcessKey process = new ProcessKey(record.getVm(), record.getBoot());
     newestStartMsByVm.merge(process.vm(), process.startMs(), Math::max);
     for (SealedUsage usage : record.getWindows()) {
-      Map<String, Long> counts = counts(process, usage.getWindow());
-      usage.getCounts().forEach((team, count) -> counts.merge(team, count, Math::max));
+      if (usage.getWindow() <= newestWindow) {
+        Map<String, Long> counts = counts(process, usage.getWindow());
+        usage.getCounts().entrySet().stream()
+            .filter(entry -> Objects.requireNonNullElse(entry.getValue(), 0L) > 0)
+            .forEach(entry -> counts.merge(entry.getKey(), entry.getValue(), Math::max));
+      }
     }
     trim();
   }
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/duty/UsageAggregatorTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/duty/UsageAggregatorTest.java
@@ -4,11 +4,14 @@
 
 import io.samphiregauge.schema.gateway.SealedUsage;
 import io.samphiregauge.schema.gateway.UsageRecord;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 class UsageAggregatorTest {
+  private static final long NEWEST_WINDOW = 12;
+
   private static UsageRecord recordOf(
       String vm, long startMs, long window, Map<String, Long> teams) {
     return new UsageRecord(vm, startMs, List.of(new SealedUsage(window, teams)));
@@ -18,20 +21,43 @@
   @Test
   void ignoresRepeatedAndOlderRecords() {
     UsageAggregator aggregator = new UsageAggregator();
-    aggregator.merge(recordOf("a", 1, 7, Map.of("x", 3L)));
-    aggregator.merge(recordOf("a", 1, 7, Map.of("x", 5L)));
-    aggregator.merge(recordOf("a", 1, 7, Map.of("x", 5L)));
-    aggregator.merge(recordOf("a", 1, 7, Map.of("x", 3L)));
+    aggregator.merge(recordOf("a", 1, 7, Map.of("x", 3L)), NEWEST_WINDOW);
+    aggregator.merge(recordOf("a", 1, 7, Map.of("x", 5L)), NEWEST_WINDOW);
+    aggregator.merge(recordOf("a", 1, 7, Map.of("x", 5L)), NEWEST_WINDOW);
+    aggregator.merge(recordOf("a", 1, 7, Map.of("x", 3L)), NEWEST_WINDOW);
     assertThat(aggregator.total(7).getCounts()).containsExactly(Map.entry("x", 5L));
   }
 
+  /** Guards against a record of far later windows that drops the counts of the present ones. */
+  @Test
+  void ignoresWindowsThatLieFarAhead() {
+    UsageAggregator aggregator = new UsageAggregator();
+    aggregator.merge(recordOf("a", 1, 7, Map.of("x", 5L)), NEWEST_WINDOW);
+    for (long window = Long.MAX_VALUE - 20; window < Long.MAX_VALUE; window++) {
+      aggregator.merge(recordOf("b", 1, window, Map.of("x", 1L)), NEWEST_WINDOW);
+    }
+    assertThat(aggregator.total(7).getCounts()).containsExactly(Map.entry("x", 5L));
+  }
+
+  /** Guards against a count that is missing or negative. */
+  @Test
+  void ignoresCountsThatAreMissingOrNegative() {
+    UsageAggregator aggregator = new UsageAggregator();
+    Map<String, Long> counts = new HashMap<>();
+    counts.put("x", null);
+    counts.put("y", -3L);
+    counts.put("z", 2L);
+    aggregator.merge(recordOf("a", 1, 7, counts), NEWEST_WINDOW);
+    assertThat(aggregator.total(7).getCounts()).containsExactly(Map.entry("z", 2L));
+  }
+
   /** Guards against counts of a restarted process that replace those of its predecessor. */
   @Test
   void addsTheCountsOfAllProcesses() {
     UsageAggregator aggregator = new UsageAggregator();
-    aggregator.merge(recordOf("a", 1, 7, Map.of("x", 5L)));
-    aggregator.merge(recordOf("a", 2, 7, Map.of("x", 2L, "y", 1L)));
-    aggregator.merge(recordOf("b", 1, 7, Map.of("y", 4L)));
+    aggregator.merge(recordOf("a", 1, 7, Map.of("x", 5L)), NEWEST_WINDOW);
+    aggregator.merge(recordOf("a", 2, 7, Map.of("x", 2L, "y", 1L)), NEWEST_WINDOW);
+    aggregator.merge(recordOf("b", 1, 7, Map.of("y", 4L)), NEWEST_WINDOW);
     assertThat(aggregator.total(7).getCounts())
         .containsOnly(Map.entry("x", 7L), Map.entry("y", 5L));
   }
@@ -40,12 +66,12 @@
   @Test
   void windowIsCompleteOnceAllProcessesHaveCountedLater() {
     UsageAggregator aggregator = new UsageAggregator();
-    aggregator.merge(recordOf("a", 1, 6, Map.of("x", 5L)));
-    aggregator.merge(recordOf("b", 1, 6, Map.of("x", 5L)));
-    aggregator.merge(recordOf("a", 1, 7, Map.of("x", 5L)));
-    aggregator.merge(recordOf("a", 1, 8, Map.of("x", 5L)));
+    aggregator.merge(recordOf("a", 1, 6, Map.of("x", 5L)), NEWEST_WINDOW);
+    aggregator.merge(recordOf("b", 1, 6, Map.of("x", 5L)), NEWEST_WINDOW);
+    aggregator.merge(recordOf("a", 1, 7, Map.of("x", 5L)), NEWEST_WINDOW);
+    aggregator.merge(recordOf("a", 1, 8, Map.of("x", 5L)), NEWEST_WINDOW);
     assertThat(aggregator.isComplete(7)).isFalse();
-    aggregator.merge(recordOf("b", 1, 8, Map.of("x", 1L)));
+    aggregator.merge(recordOf("b", 1, 8, Map.of("x", 1L)), NEWEST_WINDOW);
     assertThat(aggregator.isComplete(7)).isTrue();
     assertThat(aggregator.isComplete(8)).isFalse();
   }
@@ -54,11 +80,11 @@
   @Test
   void windowDoesNotWaitForAProcessThatWasReplaced() {
     UsageAggregator aggregator = new UsageAggregator();
-    aggregator.merge(recordOf("a", 1, 7, Map.of("x", 5L)));
-    aggregator.merge(recordOf("b", 1, 7, Map.of("x", 5L)));
-    aggregator.merge(recordOf("b", 1, 8, Map.of("x", 5L)));
+    aggregator.merge(recordOf("a", 1, 7, Map.of("x", 5L)), NEWEST_WINDOW);
+    aggregator.merge(recordOf("b", 1, 7, Map.of("x", 5L)), NEWEST_WINDOW);
+    aggregator.merge(recordOf("b", 1, 8, Map.of("x", 5L)), NEWEST_WINDOW);
     assertThat(aggregator.isComplete(7)).isFalse();
-    aggregator.merge(recordOf("a", 2, 8, Map.of("x", 1L)));
+    aggregator.merge(recordOf("a", 2, 8, Map.of("x", 1L)), NEWEST_WINDOW);
     assertThat(aggregator.isComplete(7)).isTrue();
   }
 
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
@@ -62,6 +62,9 @@
   /** Maximum number of sealed windows in the lease record. */
   private static final int MAX_SEALED_WINDOWS = 3;
 
+  /** Windows by which the clock of another process may be ahead; clocks differ by seconds. */
+  private static final int MAX_WINDOWS_AHEAD = 3;
+
   private final ControlThread control;
   private final SharedStore store;
   private final FleetApi fleet;
@@ -322,9 +325,12 @@
     ReadResult.Records records = (ReadResult.Records) page;
     boolean mayHaveMore = !records.records().isEmpty();
     usageOffset = records.nextOffset();
+    long newestWindow =
+        Math.floorDiv(usageRecorder.wallTimeMs(), timing.windowMs()) + MAX_WINDOWS_AHEAD;
     for (StoreRecord record : records.records()) {
       RecordDecoder.decode(record, UsageRecord.class, LOG, "usage_unreadable")
-          .ifPresent(aggregator::merge);
+          .ifPresent(
+              usage -> ControlThread.runAndLogFailure(() -> aggregator.merge(usage, newestWindow)));
     }
     if (mayHaveMore) {
       readUsage(onComplete);
