Do not take a copied refusal for the answer to a running request

A faulty server wrote an earlier refusal once more on a kept connection. Callers were told 503 for a request that the server was running, or the request was sent to a second server meanwhile (REFUSED, TWICE). Three ways led there: - A refusal without an id was taken for the own answer. Servers name the attempt in their responses, so an unnamed refusal or failure is now skipped on a connection that has carried a response, and the own answer is awaited. The first response of a connection needs no id. - Bytes that had arrived before the request was written became part of its answer: the rest of a copy whose begin was in the decoder, or in the socket. A kept connection with any such bytes, or that was closed, is now abandoned before the request is sent. ResponseCodec replaces Netty's client codec, because that does not show whether it is between responses. - A request that returned to a server (an engine that refused its KV cache) met the copy of its own refusal, with its id. It now gets a new connection.

--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ForwardAttempt.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ForwardAttempt.java
@@ -22,6 +22,7 @@
   private final long queuedTokens;
   private final DualTimestamp startedAt = DualTimestamp.now();
   private Optional<HttpConnection> connection = Optional.empty();
+  private boolean connectionReused;
   private long firstTokenMs;
   private boolean prefilled;
   private boolean ended;
@@ -151,6 +152,12 @@
 
   void onSent(HttpConnection openConnection) {
     connection = Optional.of(openConnection);
+    connectionReused = openConnection.wasUsed();
+  }
+
+  /** Returns whether the connection has carried a response before this attempt. */
+  boolean connectionReused() {
+    return connectionReused;
   }
 
   void setReadEnabled(boolean enabled) {
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ProxyExchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ProxyExchange.java
@@ -14,7 +14,9 @@
 import io.samphiregauge.gateway.port.KvSource;
 import io.samphiregauge.net.HttpConnection;
 import io.samphiregauge.net.ResponseListener;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Forwards one request to backend servers, with retries, and relays the response to the caller.
@@ -53,6 +55,9 @@
   /** First error response from a server, relayed if no later attempt gets a better one. */
   private Optional<ServerResponse> failureResponse = Optional.empty();
 
+  /** Servers that have received the request, also to prefill it only. */
+  private final Set<String> contactedServers = new HashSet<>();
+
   private int sendCount;
   private int connectFailures;
   private boolean continued;
@@ -119,13 +124,17 @@
     return false;
   }
 
+  /**
+   * Acquires a connection to the server. It is a new one if the server has received the request
+   * before, because a copy of its earlier answer bears the same identifier.
+   */
   private boolean connect(ForwardAttempt current) {
     attempt = Optional.of(current);
     context
         .connectionPool()
         .acquire(
             EventLoopContext.parseAddress(current.load().server().address()),
-            true,
+            !contactedServers.contains(current.incarnation()),
             opened ->
                 opened.fold(
                     connection -> sendAfterPendingEvents(current, connection),
@@ -147,7 +156,12 @@
       connection.abandon();
       return false;
     }
+    if (connection.wasUsed() && connection.hasUnreadInput()) {
+      connection.abandon();
+      return connect(current);
+    }
     current.onSent(connection);
+    contactedServers.add(current.incarnation());
     if (!current.prefillOnly()) {
       sendCount++;
     }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ResponseMatcher.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ResponseMatcher.java
@@ -11,8 +11,9 @@
 
   /**
    * Returns whether a response belongs to a request. Servers name the attempt that they respond to,
-   * except in some rejections, so a sealed success without a name may be the copy of an earlier
-   * one.
+   * so a sealed success without a name may be the copy of an earlier one. So may a rejection or
+   * another failure, unless it is the first response on its connection: to take it for the own one
+   * would deny a run that goes on.
    *
    * @param request the request that was sent last on the connection
    * @param attempt the attempt to run it
@@ -25,10 +26,10 @@
     if (meta.attemptId().isPresent()) {
       return meta.attemptId().equals(request.meta().attemptId());
     }
+    if (attempt.prefillOnly() || request.meta().attemptId().isEmpty()) {
+      return true;
+    }
     boolean success = head.status().codeClass() == HttpStatusClass.SUCCESS;
-    return !success
-        || !meta.sealed()
-        || attempt.prefillOnly()
-        || request.meta().attemptId().isEmpty();
+    return success ? !meta.sealed() : !attempt.connectionReused();
   }
 }
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/HttpConnection.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/HttpConnection.java
@@ -1,6 +1,5 @@
 package io.samphiregauge.net;
 
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -30,7 +29,7 @@
   private static final int MAX_SKIPPED_BYTES = 256 * 1024;
 
   private final Address address;
-  private final Channel channel;
+  private final ProbedSocketChannel channel;
   private final Consumer<HttpConnection> returnToPool;
   private final Consumer<HttpConnection> onClosed;
   private Optional<ResponseListener> listener = Optional.empty();
@@ -46,7 +45,7 @@
 
   HttpConnection(
       Address address,
-      Channel channel,
+      ProbedSocketChannel channel,
       Consumer<HttpConnection> returnToPool,
       Consumer<HttpConnection> onClosed) {
     this.address = address;
@@ -106,6 +105,17 @@
     return used;
   }
 
+  /**
+   * Returns whether the server has sent bytes, or closed the connection, since its last complete
+   * response. Such bytes belong to no request, so none may be sent on the connection then. Some of
+   * them are lost, so that only {@link #abandon} may follow.
+   */
+  public boolean hasUnreadInput() {
+    return !channel.isActive()
+        || !channel.pipeline().get(ResponseCodec.class).isBetweenResponses()
+        || channel.hasUnreadInput();
+  }
+
   /** Returns whether the connection is open and the server's keep-alive timeout has not passed. */
   boolean isOpen() {
     return channel.isActive() && System.nanoTime() - idleUntilNanos < 0;
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/HttpConnectionPool.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/HttpConnectionPool.java
@@ -1,14 +1,12 @@
 package io.samphiregauge.net;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.timeout.IdleStateHandler;
 import io.samphiregauge.core.result.Result;
 import java.util.ArrayDeque;
@@ -102,7 +100,7 @@
   private void open(Address address, Consumer<Result<HttpConnection>> callback) {
     new Bootstrap()
         .group(loop)
-        .channel(NioSocketChannel.class)
+        .channelFactory(ProbedSocketChannel::new)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
         .option(ChannelOption.TCP_NODELAY, true)
         .handler(
@@ -114,7 +112,11 @@
                     .addLast(
                         new IdleStateHandler(READ_IDLE_TIMEOUT_MS, 0, 0, TimeUnit.MILLISECONDS))
                     .addLast(
-                        new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES));
+                        new ResponseCodec(
+                            new HttpDecoderConfig()
+                                .setMaxInitialLineLength(MAX_LINE_BYTES)
+                                .setMaxHeaderSize(MAX_HEADER_BYTES)
+                                .setMaxChunkSize(MAX_CHUNK_BYTES)));
               }
             })
         .connect(address.toSocketAddress())
@@ -127,7 +129,7 @@
       return Result.failed(
           new NetFailure.NotConnected(address.toString(), String.valueOf(connected.cause())));
     }
-    Channel channel = connected.channel();
+    ProbedSocketChannel channel = (ProbedSocketChannel) connected.channel();
     HttpConnection connection = new HttpConnection(address, channel, this::release, this::remove);
     channel.pipeline().addLast(connection.handler());
     return Result.success(connection);
--- /dev/null
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/ResponseCodec.java
@@ -0,0 +1,86 @@
+package io.samphiregauge.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.CombinedChannelDuplexHandler;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.util.List;
+
+/**
+ * Encodes requests and decodes responses, one request at a time. Unlike Netty's client codec, it
+ * shows whether bytes of a further response have arrived.
+ */
+final class ResponseCodec
+    extends CombinedChannelDuplexHandler<ResponseCodec.Decoder, ResponseCodec.Encoder> {
+
+  ResponseCodec(HttpDecoderConfig config) {
+    Decoder decoder = new Decoder(config);
+    init(decoder, new Encoder(decoder));
+  }
+
+  /** Returns whether all received bytes belong to complete responses. */
+  boolean isBetweenResponses() {
+    return inboundHandler().isBetweenResponses();
+  }
+
+  /** Records the method of each request, which determines whether its response has a body. */
+  static final class Encoder extends HttpRequestEncoder {
+    private final Decoder decoder;
+
+    Encoder(Decoder decoder) {
+      this.decoder = decoder;
+    }
+
+    @Override
+    protected void encode(ChannelHandlerContext ctx, Object message, List<Object> out)
+        throws Exception {
+      if (message instanceof HttpRequest request) {
+        decoder.headRequest = request.method().equals(HttpMethod.HEAD);
+      }
+      super.encode(ctx, message, out);
+    }
+  }
+
+  /** Decodes responses and detects the boundaries between them. */
+  static final class Decoder extends HttpResponseDecoder {
+    private boolean headRequest;
+    private boolean withinResponse;
+
+    Decoder(HttpDecoderConfig config) {
+      super(config);
+    }
+
+    boolean isBetweenResponses() {
+      return !withinResponse && actualReadableBytes() == 0;
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out)
+        throws Exception {
+      int bytesBefore = buffer.readableBytes();
+      int partsBefore = out.size();
+      super.decode(ctx, buffer, out);
+      if (out.size() > partsBefore) {
+        withinResponse = !(out.get(out.size() - 1) instanceof LastHttpContent);
+      } else if (buffer.readableBytes() < bytesBefore) {
+        withinResponse = true;
+      }
+    }
+
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+      boolean interim =
+          message instanceof HttpResponse response
+              && response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+      return (headRequest && !interim) || super.isContentAlwaysEmpty(message);
+    }
+  }
+}
