Break a stream off if the next server does not continue it

A stream had begun and broke off, and the next server answered with an empty stream, one that started again at event 1, repeated or skipped an event or had no ids, or with 204 or 206 and the type of a stream.

EventSequence now checks the first events of each server that continues a stream: they must follow the last relayed event, directly if the ids so far were consecutive. Otherwise, and if no event comes, the answer counts as lost: another server is asked if the route and the budget allow it, or the connection is closed without the last chunk. Only status 200 is a stream. A stream whose last event was relayed, but not its end, is broken off too, since an empty continuation cannot be told from a lost one.

--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/CallerResponseWriter.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/CallerResponseWriter.java
@@ -42,6 +42,16 @@
     return splitter.filter(SseEventSplitter::hasOversizedEvent).isPresent();
   }
 
+  /** Returns whether another server continues the stream, but not right after its last event. */
+  boolean isOutOfSequence() {
+    return splitter.filter(SseEventSplitter::isOutOfSequence).isPresent();
+  }
+
+  /** Returns whether another server is to continue the stream and has sent no event of it yet. */
+  boolean awaitsContinuation() {
+    return splitter.filter(SseEventSplitter::awaitsContinuation).isPresent();
+  }
+
   void discardPartialEvent() {
     splitter.ifPresent(SseEventSplitter::discardPartialEvent);
   }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ProxyExchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ProxyExchange.java
@@ -241,7 +241,9 @@
     if (writer.writeEvents(response.head(), bytes)) {
       recordExecutionStarted(current);
     }
-    if (writer.hasOversizedEvent()) {
+    if (writer.isOutOfSequence()) {
+      onResponseLost(current, new InvalidServerResponse("the stream was not continued"));
+    } else if (writer.hasOversizedEvent()) {
       onResponseLost(current, new InvalidServerResponse("an event exceeds the size limit"));
     }
   }
@@ -320,6 +322,10 @@
       onResponseLost(current, new InvalidServerResponse("the stream ended within an event"));
       return;
     }
+    if (writer.awaitsContinuation()) {
+      onResponseLost(current, new InvalidServerResponse("the stream was continued without events"));
+      return;
+    }
     current.end();
     context.crashDetector().recordResponse(request);
     current.load().recordResponse(current.elapsedMs());
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServerResponse.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServerResponse.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.samphiregauge.gateway.port.ResponseMeta;
 import java.util.Locale;
@@ -87,8 +88,9 @@
     return !isRejection() && (status == 503 || status == 429 || status == 408);
   }
 
+  /** Returns whether this is a stream of events; other statuses of success have no events. */
   boolean isEventStream() {
-    return isSuccess()
+    return head.status().equals(HttpResponseStatus.OK)
         && head.headers()
             .get(HttpHeaderNames.CONTENT_TYPE, "")
             .toLowerCase(Locale.ROOT)
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/SseEventSplitter.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/SseEventSplitter.java
@@ -25,7 +25,8 @@
   /** Bytes at the end of {@link #pending} that were not searched for the end of an event. */
   private int unsearchedBytes;
 
-  private Optional<String> lastEventId = Optional.empty();
+  private final EventSequence sequence = new EventSequence();
+  private boolean outOfSequence;
 
   SseEventSplitter(ByteBufAllocator allocator) {
     pending = allocator.buffer();
@@ -38,14 +39,23 @@
     unsearchedBytes += bytes.readableBytes();
   }
 
-  /** Removes and returns the complete events, if any; the caller must release them. */
+  /**
+   * Removes and returns the complete events, if any; the caller must release them. Returns none if
+   * another server continues the stream with events that may not follow.
+   */
   Optional<ByteBuf> takeCompleteEvents() {
     int end = findEndOfLastEvent();
     if (end == pending.readerIndex()) {
       return Optional.empty();
     }
     ByteBuf events = pending.readBytes(end - pending.readerIndex());
-    lastEventId = findLastEventId(events).or(() -> lastEventId);
+    String text = events.toString(StandardCharsets.UTF_8);
+    outOfSequence |=
+        !isComment(text) && !sequence.add(findFirstEventId(text), findLastEventId(text));
+    if (outOfSequence) {
+      events.release();
+      return Optional.empty();
+    }
     return Optional.of(events);
   }
 
@@ -54,6 +64,16 @@
     return pending.isReadable();
   }
 
+  /** Returns whether another server continues the stream, but not right after its last event. */
+  boolean isOutOfSequence() {
+    return outOfSequence;
+  }
+
+  /** Returns whether another server is to continue the stream and has sent no event of it yet. */
+  boolean awaitsContinuation() {
+    return sequence.awaitsContinuation();
+  }
+
   /** Returns whether the incomplete event is larger than any legal one. */
   boolean hasOversizedEvent() {
     return pending.readableBytes() > MAX_EVENT_BYTES;
@@ -61,13 +81,15 @@
 
   /** Returns the identifier of the last event that was returned. */
   Optional<String> lastEventId() {
-    return lastEventId;
+    return sequence.lastId();
   }
 
   /** Discards a partial event before another server continues the stream. */
   void discardPartialEvent() {
     pending.clear();
     unsearchedBytes = 0;
+    outOfSequence = false;
+    sequence.startContinuation();
   }
 
   void release() {
@@ -93,13 +115,26 @@
     return pending.readerIndex();
   }
 
-  private static Optional<String> findLastEventId(ByteBuf events) {
-    String text = events.toString(StandardCharsets.UTF_8);
-    int lastIdLine = text.lastIndexOf("\n" + ID_FIELD);
-    if (lastIdLine < 0 && !text.startsWith(ID_FIELD)) {
+  private static boolean isComment(String text) {
+    return text.lines().allMatch(line -> line.isEmpty() || line.startsWith(":"));
+  }
+
+  private static Optional<String> findFirstEventId(String text) {
+    return text.startsWith(ID_FIELD)
+        ? readId(text, 0)
+        : readId(text, text.indexOf("\n" + ID_FIELD) + 1);
+  }
+
+  private static Optional<String> findLastEventId(String text) {
+    return readId(text, text.lastIndexOf("\n" + ID_FIELD) + 1);
+  }
+
+  /** Returns the identifier in the line that starts at an index, if it holds one. */
+  private static Optional<String> readId(String text, int lineStart) {
+    if (!text.startsWith(ID_FIELD, lineStart)) {
       return Optional.empty();
     }
-    int start = (lastIdLine < 0 ? 0 : lastIdLine + 1) + ID_FIELD.length();
+    int start = lineStart + ID_FIELD.length();
     int end = text.indexOf('\n', start);
     return Optional.of(text.substring(start, end < 0 ? text.length() : end).trim());
   }
