--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ProxyExchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ProxyExchange.java
@@ -14,9 +14,7 @@
 import io.samphiregauge.gateway.port.KvSource;
 import io.samphiregauge.net.HttpConnection;
 import io.samphiregauge.net.ResponseListener;
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 
 /**
  * Forwards one request to backend servers, with retries, and relays the response to the caller.
@@ -49,15 +47,13 @@
   private final RequestAccounting accounting;
   private final RequestDecisionLog log;
   private final AttemptPlanner planner;
+  private final AttemptConnector connector;
   private Optional<ForwardAttempt> attempt = Optional.empty();
   private Optional<ServerResponse> serverResponse = Optional.empty();
 
   /** First error response from a server, relayed if no later attempt gets a better one. */
   private Optional<ServerResponse> failureResponse = Optional.empty();
 
-  /** Servers that have received the request, also to prefill it only. */
-  private final Set<String> contactedServers = new HashSet<>();
-
   private int sendCount;
   private int connectFailures;
   private boolean continued;
@@ -70,6 +66,7 @@
     this.request = request;
     this.kvCache = new RetainedKvCache(context);
     this.planner = new AttemptPlanner(context, request, kvCache);
+    this.connector = new AttemptConnector(context);
     this.accounting = new RequestAccounting(context, request);
     this.log = new RequestDecisionLog(context, request);
     this.writer = new CallerResponseWriter(caller, request.route().kind().isStream());
@@ -124,30 +121,14 @@
     return false;
   }
 
-  /**
-   * Acquires a connection to the server. It is a new one if the server has received the request
-   * before, because a copy of its earlier answer bears the same identifier.
-   */
   private boolean connect(ForwardAttempt current) {
     attempt = Optional.of(current);
-    context
-        .connectionPool()
-        .acquire(
-            EventLoopContext.parseAddress(current.load().server().address()),
-            !contactedServers.contains(current.incarnation()),
-            opened ->
-                opened.fold(
-                    connection -> sendAfterPendingEvents(current, connection),
-                    failure -> onConnectFailure(current, failure)));
-    return true;
-  }
-
-  /**
-   * Sends the request after the events that are already known to the event loop, which may include
-   * the end of the caller's connection. With a slow processor they can be half a second old.
-   */
-  private boolean sendAfterPendingEvents(ForwardAttempt current, HttpConnection connection) {
-    context.execute(() -> sendRequest(current, connection));
+    connector.connect(
+        current,
+        opened ->
+            opened.fold(
+                connection -> sendRequest(current, connection),
+                failure -> onConnectFailure(current, failure)));
     return true;
   }
 
@@ -156,12 +137,7 @@
       connection.abandon();
       return false;
     }
-    if (connection.wasUsed() && connection.hasUnreadInput()) {
-      connection.abandon();
-      return connect(current);
-    }
     current.onSent(connection);
-    contactedServers.add(current.incarnation());
     if (!current.prefillOnly()) {
       sendCount++;
     }
