--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/duty/DutyLease.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/duty/DutyLease.java
@@ -29,9 +29,16 @@
   private Optional<Observation> lastObserved = Optional.empty();
   private Optional<Tenure> tenure = Optional.empty();
 
-  /** The register as last read or written, and the time at which that was observed. */
+  /**
+   * The register as last read or written.
+   *
+   * @param value the newest record that could be read
+   * @param readable whether that is the record in the register
+   * @param endOffset end offset of the register
+   * @param observedAt time of the observation
+   */
   private record Observation(
-      Optional<DutyRecord> value, long endOffset, DualTimestamp observedAt) {}
+      Optional<DutyRecord> value, boolean readable, long endOffset, DualTimestamp observedAt) {}
 
   /**
    * A conditional write to the register.
@@ -89,7 +96,7 @@
    * Handles the result of a read. Results that are older than the last observation are ignored; if
    * another process has written the record, this process no longer holds the lease.
    *
-   * @param value record in the register, or empty before the first write
+   * @param value record in the register; empty before the first write, or if it cannot be read
    * @param endOffset end offset of the register
    * @param now current time
    */
@@ -99,7 +106,8 @@
     }
     boolean unchanged = lastObserved.map(last -> last.endOffset() == endOffset).orElse(false);
     if (!unchanged) {
-      lastObserved = Optional.of(new Observation(value, endOffset, now));
+      lastObserved =
+          Optional.of(new Observation(value.or(this::latest), value.isPresent(), endOffset, now));
       if (!value.map(this::isOwn).orElse(false)) {
         tenure = Optional.empty();
       }
@@ -118,7 +126,7 @@
       return;
     }
     lastObserved =
-        Optional.of(new Observation(Optional.of(write.value()), endOffset, write.sentAt()));
+        Optional.of(new Observation(Optional.of(write.value()), true, endOffset, write.sentAt()));
     tenure = Optional.of(new Tenure(write.value().getToken(), write.sentAt(), leaseMs - marginMs));
   }
 
@@ -142,7 +150,7 @@
     return lastObserved.flatMap(Observation::value).map(DutyRecord::getToken).orElse(NO_TOKEN);
   }
 
-  /** Returns the newest known record. */
+  /** Returns the newest known record that could be read. */
   public Optional<DutyRecord> latest() {
     return lastObserved.flatMap(Observation::value);
   }
@@ -182,10 +190,9 @@
     // An earlier process of this VM must have ended, and the conditional write fails if another VM
     // claims the lease first. A register without a readable record was never written, or its
     // holder is unknown and may still act.
-    return observed
-        .value()
-        .map(value -> value.getHolder().equals(vm))
-        .orElse(observed.endOffset() == 0);
+    return observed.readable()
+        ? observed.value().filter(value -> value.getHolder().equals(vm)).isPresent()
+        : observed.endOffset() == 0;
   }
 
   private boolean isOwn(DutyRecord value) {
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/CrashAttribution.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/CrashAttribution.java
@@ -78,12 +78,6 @@
   /** Completions that are newer by less than this than the reported ones are not reported. */
   private static final long MIN_REPORT_ADVANCE_MS = 1_000;
 
-  private static final Comparator<Suspect> MOST_SUSPECT_FIRST =
-      Comparator.<Suspect>comparingLong(suspect -> suspect.completedAtMs)
-          .thenComparing(Comparator.<Suspect>comparingInt(Suspect::countCrashes).reversed())
-          .thenComparing(Comparator.<Suspect>comparingInt(suspect -> suspect.position).reversed())
-          .thenComparing(suspect -> suspect.trait);
-
   private final Consumer<AttributionChange> changeListener;
   private final Map<String, CrashEvent> events = boundedMap(MAX_EVENTS);
   private final Map<String, BlockState> blocks = boundedMap(MAX_BLOCKS);
@@ -120,74 +114,6 @@
     };
   }
 
-  /** A trait that is not blocked, with the unexplained crashes since its last completion. */
-  private static final class Suspect {
-    private final String trait;
-    private final long completedAtMs;
-    private final Map<String, Integer> groupsByServer = new HashMap<>();
-    private final Map<String, Integer> crashesByRequest = new HashMap<>();
-    private int groups;
-    private long groupStartMs;
-    private int crashesOfGroup;
-    private int crashes;
-    private int position;
-    private long manyCrashesAtMs = Long.MAX_VALUE;
-    private long firstSeenAtMs;
-    private long lastSeenAtMs;
-
-    private Suspect(String trait, long completedAtMs) {
-      this.trait = trait;
-      this.completedAtMs = completedAtMs;
-    }
-
-    /** Adds a crash, which must not be older than the ones added before. */
-    private void add(CrashEvent event) {
-      if (groups == 0) {
-        firstSeenAtMs = event.seenAtMs();
-      }
-      if (groups == 0 || event.seenAtMs() - groupStartMs > SIMULTANEOUS_MS) {
-        groups++;
-        groupStartMs = event.seenAtMs();
-        crashesOfGroup = 0;
-        crashesByRequest.clear();
-      }
-      int crashesBefore = crashesOfGroup;
-      // A request that crashed several servers has crashed them one after another, however fast.
-      event
-          .digestsOf(trait)
-          .forEach(digest -> crashesOfGroup = Math.max(crashesOfGroup, countCrash(digest)));
-      crashes += crashesOfGroup - crashesBefore;
-      groupsByServer.put(event.server(), groups);
-      position = Math.max(position, event.position(trait));
-      if (groupsByServer.size() == MIN_CRASHES_AFTER_COMPLETION) {
-        manyCrashesAtMs = Math.min(manyCrashesAtMs, event.seenAtMs());
-      }
-      lastSeenAtMs = event.seenAtMs();
-    }
-
-    private int countCrash(String digest) {
-      return crashesByRequest.merge(digest, 1, Integer::sum);
-    }
-
-    private boolean hasCompleted() {
-      return completedAtMs != CompletionHistory.NEVER;
-    }
-
-    /** Returns the number of crashes, where servers that crashed together count once. */
-    private int countCrashes() {
-      // The servers that a request with a sound part was sent to may have been lost together.
-      return hasCompleted() ? groups : crashes;
-    }
-
-    private boolean isInManyCrashes() {
-      return manyCrashesAtMs != Long.MAX_VALUE;
-    }
-
-    private boolean isCause() {
-      return countCrashes() >= (hasCompleted() ? MIN_CRASHES_AFTER_COMPLETION : MIN_CRASHES);
-    }
-  }
-
   /**
    * Records requests that were lost when a server crashed. Reports of several entries about one
    * server incarnation are merged, and repeated reports have no effect.
@@ -277,7 +203,7 @@
         changeListener.accept(new AttributionChange.Cleared(trait, byPeer));
       }
     } else if (suspects.containsKey(trait)) {
-      if (completedAtMs >= suspects.get(trait).lastSeenAtMs) {
+      if (completedAtMs >= suspects.get(trait).lastSeenAtMs()) {
         // The crashes of other traits are unaffected, so they need not be counted again.
         suspects.remove(trait);
       } else {
@@ -450,20 +376,20 @@
         .removeIf(trait -> !suspects.containsKey(trait) || !suspects.get(trait).isInManyCrashes());
     suspects.values().stream()
         .filter(Suspect::isInManyCrashes)
-        .forEach(suspect -> activeMsAtManyCrashes.putIfAbsent(suspect.trait, activeMs));
+        .forEach(suspect -> activeMsAtManyCrashes.putIfAbsent(suspect.trait(), activeMs));
   }
 
   private Optional<Suspect> findCause() {
     return suspects.values().stream()
         .filter(suspect -> suspect.isCause() || isAvoidedByCompletions(suspect))
         .filter(suspect -> !suspect.hasCompleted() || !isExplainedByOthers(suspect))
-        .min(MOST_SUSPECT_FIRST);
+        .min(Suspect.MOST_SUSPECT_FIRST);
   }
 
   /** Returns whether others complete, so that the crashes were no loss of all servers at once. */
   private boolean isAvoidedByCompletions(Suspect suspect) {
     return suspect.isInManyCrashes()
-        && activeMs - activeMsAtManyCrashes.getOrDefault(suspect.trait, activeMs)
+        && activeMs - activeMsAtManyCrashes.getOrDefault(suspect.trait(), activeMs)
             >= OTHERS_COMPLETE_MS;
   }
 
@@ -473,7 +399,7 @@
    */
   private boolean isExplainedByOthers(Suspect suspect) {
     return unexplained.stream()
-            .filter(event -> suspect.groupsByServer.containsKey(event.server()))
+            .filter(event -> suspect.groupsByServer().containsKey(event.server()))
             .filter(event -> event.traits().stream().noneMatch(this::isLikelyCause))
             .count()
         < MIN_CRASHES_AFTER_COMPLETION;
@@ -481,15 +407,15 @@
 
   private boolean isLikelyCause(String trait) {
     return Optional.ofNullable(suspects.get(trait))
-        .filter(other -> !other.hasCompleted() && other.position < RequestTraits.MAX_TRAITS)
-        .filter(other -> other.groupsByServer.size() >= MIN_CRASHES_OF_LIKELY_CAUSE)
+        .filter(other -> !other.hasCompleted() && other.isPromptPart())
+        .filter(other -> other.groupsByServer().size() >= MIN_CRASHES_OF_LIKELY_CAUSE)
         .isPresent();
   }
 
   private void block(Suspect cause, long nowMs) {
-    String trait = cause.trait;
+    String trait = cause.trait();
     long durationMs = BlockState.FIRST_DURATION_MS;
-    blocks.put(trait, new BlockState(trait, nowMs, durationMs, cause.firstSeenAtMs));
+    blocks.put(trait, new BlockState(trait, nowMs, durationMs, cause.firstSeenAtMs()));
     changeListener.accept(
         new AttributionChange.Blocked(
             trait, cause.countCrashes(), completions.count(trait), durationMs, false));
@@ -509,7 +435,7 @@
             suspected.put(
                 trait,
                 new CrashSuspects.SuspectedTrait(
-                    suspect.hasCompleted(), Map.copyOf(suspect.groupsByServer))));
+                    suspect.hasCompleted(), Map.copyOf(suspect.groupsByServer()))));
     return new CrashSuspects(blocked, suspected);
   }
 
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/CrashEvent.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/CrashEvent.java
@@ -10,6 +10,8 @@
 
 /** The crash of one server incarnation, with the requests of all entries that were lost in it. */
 final class CrashEvent {
+  static final int DIGEST_POSITION = -1;
+
   /** Capacity in requests; some twenty run on a server at a time. */
   static final int MAX_REQUESTS = 64;
 
@@ -48,7 +50,7 @@
                     digestsByTrait
                         .computeIfAbsent(trait, key -> new ArrayList<>())
                         .add(request.digest()));
-        positions.put(request.digest(), RequestTraits.MAX_TRAITS);
+        positions.put(request.digest(), DIGEST_POSITION);
       }
     }
     return changed;
@@ -75,7 +77,7 @@
     return positions.containsKey(trait);
   }
 
-  /** Returns the position of a trait in its request; the digest comes after all prompt parts. */
+  /** Returns the position of a trait in its request; {@link #DIGEST_POSITION} for a digest. */
   int position(String trait) {
     return positions.getOrDefault(trait, 0);
   }
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/duty/DutyLeaseTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/duty/DutyLeaseTest.java
@@ -4,8 +4,10 @@
 
 import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.schema.gateway.DutyRecord;
+import io.samphiregauge.schema.gateway.SealedUsage;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import net.jqwik.api.ForAll;
@@ -113,6 +115,7 @@
     contender.onRead(Optional.empty(), 7, at(1_000));
     assertThat(contender.prepareClaim(at(1_000 + LEASE_MS - 1))).isEmpty();
     DutyLease.Write claim = contender.prepareClaim(at(1_000 + LEASE_MS)).orElseThrow();
+    assertThat(claim.expectedEndOffset()).isEqualTo(7);
     assertThat(claim.value().getToken()).isGreaterThan(7);
   }
 
@@ -151,6 +154,25 @@
     assertThat(lease.token()).isEqualTo(4);
   }
 
+  /**
+   * Guards against reporting usage again, with other counts, after a record that cannot be read.
+   */
+  @Test
+  void unreadableRecordKeepsWhatIsKnownOfTheWindows() {
+    SealedUsage sealed = new SealedUsage(17, Map.of("team", 4L));
+    DutyLease holder = newLease("a");
+    holder.onRead(Optional.of(new DutyRecord("a", 0, 4, 9, List.of(sealed), 16)), 7, at(100));
+    DutyLease.Write own = holder.prepareClaim(at(100)).orElseThrow();
+    holder.onWriteAccepted(own, 8);
+    holder.onRead(Optional.empty(), 9, at(200));
+    assertThat(holder.isHeld(at(201))).isFalse();
+    assertThat(holder.prepareClaim(at(200 + LEASE_MS - 1))).isEmpty();
+    DutyRecord next = holder.prepareClaim(at(200 + LEASE_MS)).orElseThrow().value();
+    assertThat(next.getToken()).isGreaterThan(9);
+    assertThat(next.getSealed()).containsExactly(sealed);
+    assertThat(next.getReportedWindow()).isEqualTo(16);
+  }
+
   /** A simulated entry whose clock is offset from the simulated time by a constant. */
   private static final class Entry {
     final DutyLease lease;
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ProxyExchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ProxyExchange.java
@@ -46,6 +46,7 @@
   private final CrashGuard crashGuard;
   private final AttemptPlanner planner;
   private final ReceivedResponses responses;
+  private final AttemptConnector connector;
   private Optional<ForwardAttempt> attempt = Optional.empty();
   private int sendCount;
   private int connectFailures;
@@ -60,6 +61,7 @@
     this.responses = new ReceivedResponses(context, caller.alloc());
     this.kvCache = new RetainedKvCache(context);
     this.planner = new AttemptPlanner(context, request, kvCache);
+    this.connector = new AttemptConnector(context);
     this.accounting = new RequestAccounting(context, request);
     this.log = new RequestDecisionLog(context, request);
     this.crashGuard = new CrashGuard(context, request, log);
@@ -114,24 +116,12 @@
 
   private boolean connect(ForwardAttempt current) {
     attempt = Optional.of(current);
-    context
-        .connectionPool()
-        .acquire(
-            EventLoopContext.parseAddress(current.load().server().address()),
-            true,
-            opened ->
-                opened.fold(
-                    connection -> sendAfterPendingEvents(current, connection),
-                    failure -> onConnectFailure(current, failure)));
-    return true;
-  }
-
-  /**
-   * Sends the request after the events that are already known to the event loop, which may include
-   * the end of the caller's connection. With a slow processor they can be half a second old.
-   */
-  private boolean sendAfterPendingEvents(ForwardAttempt current, HttpConnection connection) {
-    context.execute(() -> sendRequest(current, connection));
+    connector.connect(
+        current,
+        opened ->
+            opened.fold(
+                connection -> sendRequest(current, connection),
+                failure -> onConnectFailure(current, failure)));
     return true;
   }
 
@@ -218,7 +208,9 @@
     if (writer.writeEvents(response.head(), bytes)) {
       recordExecutionStarted(current);
     }
-    if (writer.hasOversizedEvent()) {
+    if (writer.isOutOfSequence()) {
+      onResponseLost(current, new InvalidServerResponse("the stream was not continued"));
+    } else if (writer.hasOversizedEvent()) {
       onResponseLost(current, new InvalidServerResponse("an event exceeds the size limit"));
     }
   }
@@ -291,6 +283,10 @@
       onResponseLost(current, new InvalidServerResponse("the stream ended within an event"));
       return;
     }
+    if (writer.awaitsContinuation()) {
+      onResponseLost(current, new InvalidServerResponse("the stream was continued without events"));
+      return;
+    }
     current.end();
     current.load().recordResponse(current.elapsedMs());
     recordExecutionStarted(current);
--- a/samphiregauge-gateway/src/test/java/io/samphiregauge/gateway/control/CrashExchangeTest.java
+++ b/samphiregauge-gateway/src/test/java/io/samphiregauge/gateway/control/CrashExchangeTest.java
@@ -2,10 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.result.Result;
 import io.samphiregauge.core.suspect.CrashSuspects;
 import io.samphiregauge.core.suspect.RequestTraits;
-import io.samphiregauge.gateway.DualTimestamp;
 import io.samphiregauge.gateway.GroupMember;
 import io.samphiregauge.gateway.port.SharedStore;
 import io.samphiregauge.net.Codec;
