Ask entries that started earlier for the blocked parts

A started entry now asks members that started before it, as long as there are any. CrashExchangeTest.startedEntryAsksThoseThatStartedBeforeIt fails without the change.

--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/CrashExchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/CrashExchange.java
@@ -115,7 +115,7 @@
   }
 
   private void queryMember() {
-    List<GroupMember> unasked = new ArrayList<>(otherMembers());
+    List<GroupMember> unasked = new ArrayList<>(queryableMembers());
     unasked.removeIf(member -> answeredBy.contains(member.peerAddress()));
     if (answeredBy.size() >= QUERIED_MEMBERS || (unasked.isEmpty() && !answeredBy.isEmpty())) {
       return;
@@ -130,6 +130,18 @@
             });
   }
 
+  /**
+   * Returns the members that may know more than this entry: those that started before it, if there
+   * are any. The group still lists the process before it on this VM for some seconds.
+   */
+  private List<GroupMember> queryableMembers() {
+    List<GroupMember> others =
+        otherMembers().stream().filter(member -> !member.vm().equals(self.vm())).toList();
+    List<GroupMember> earlier =
+        others.stream().filter(member -> member.startMs() < self.startMs()).toList();
+    return earlier.isEmpty() ? others : earlier;
+  }
+
   /** Returns the current suspects. */
   CrashSuspects suspects() {
     return attribution.suspects(this::ownsTrial);
--- a/samphiregauge-gateway/src/test/java/io/samphiregauge/gateway/control/CrashExchangeTest.java
+++ b/samphiregauge-gateway/src/test/java/io/samphiregauge/gateway/control/CrashExchangeTest.java
@@ -12,6 +12,7 @@
 import io.samphiregauge.net.NetFailure;
 import io.samphiregauge.schema.PeerMessage;
 import io.samphiregauge.schema.gateway.CrashRecord;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -48,15 +49,14 @@
   }
 
   private void start(GroupMember member, CountDownLatch changed) {
+    start(member, MEMBERS, changed);
+  }
+
+  private void start(GroupMember member, List<GroupMember> group, CountDownLatch changed) {
     SplittableRandom random = new SplittableRandom(7);
     CrashExchange exchange =
         new CrashExchange(
-            control,
-            unavailableStore(),
-            member,
-            () -> MEMBERS,
-            random::nextLong,
-            changed::countDown);
+            control, unavailableStore(), member, () -> group, random::nextLong, changed::countDown);
     exchanges.put(member.vm(), exchange);
     control.post(
         () -> exchange.start((address, message) -> deliver(member.vm(), address, message)));
@@ -118,4 +118,34 @@
     start(MEMBERS.get(2), new CountDownLatch(1));
     assertThat(blocksWithinTimeout("vm3", next)).isTrue();
   }
+
+  /**
+   * Guards against a started entry that is content with the answers of others that know nothing,
+   * because they started with it or are the process before it on its own VM.
+   */
+  @Test
+  void startedEntryAsksThoseThatStartedBeforeIt() throws Exception {
+    CountDownLatch published = new CountDownLatch(1);
+    start(MEMBERS.get(0), published);
+    for (int i = 0; i < 3; i++) {
+      CrashRecord crash = new CrashRecord("s@" + i, List.of(List.of("deadly", "r" + i)));
+      control.post(() -> exchanges.get("vm1").publish(crash));
+      // Returns once the crash was recorded; crashes at the same time would count once.
+      suspectsOf("vm1");
+      Thread.sleep(400);
+    }
+    RequestTraits next = new RequestTraits(List.of("deadly", "r9"));
+    assertThat(blocksWithinTimeout("vm1", next)).isTrue();
+    List<GroupMember> restarted =
+        List.of(2, 3, 4, 5, 6, 7, 8, 9).stream()
+            .map(number -> new GroupMember("vm" + number, 2, "d", "vm" + number, "vm" + number))
+            .toList();
+    List<GroupMember> group = new ArrayList<>(restarted);
+    group.add(MEMBERS.get(0));
+    group.add(MEMBERS.get(1));
+    restarted.forEach(member -> start(member, group, new CountDownLatch(1)));
+    for (GroupMember member : restarted) {
+      assertThat(blocksWithinTimeout(member.vm(), next)).as(member.vm()).isTrue();
+    }
+  }
 }
