--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/CrashEvent.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/CrashEvent.java
@@ -10,6 +10,7 @@
 
 /** The crash of one server incarnation, with the requests of all entries that were lost in it. */
 final class CrashEvent {
+  /** Position of the digest of a request, before all prompt parts. */
   static final int DIGEST_POSITION = -1;
 
   /** Capacity in requests; some twenty run on a server at a time. */
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/Suspect.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/suspect/Suspect.java
@@ -8,9 +8,9 @@
 final class Suspect {
   /**
    * Orders traits by how well they explain their crashes: those that completed longest ago or never
-   * first, then those in most crashes, then the most specific prompt part. A digest comes last: a
-   * request that a caller repeats says nothing against its parts, but other requests with the same
-   * part would have to crash servers of their own before the part is blocked.
+   * first, then those in most crashes, then the most specific prompt part. A digest comes last,
+   * because blocking only a request that its caller repeats would let other requests with the same
+   * part crash servers.
    */
   static final Comparator<Suspect> MOST_SUSPECT_FIRST =
       Comparator.<Suspect>comparingLong(suspect -> suspect.completedAtMs)
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/suspect/CrashAttributionTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/suspect/CrashAttributionTest.java
@@ -64,6 +64,20 @@
     assertThat(isBlocked("g")).isFalse();
   }
 
+  /**
+   * Guards against blocking only a request that its caller repeats, while other requests with its
+   * deadly part go on to crash servers.
+   */
+  @Test
+  void aRepeatedRequestBlocksItsPartInsteadOfItself() {
+    complete(request("first", "sound", "d0"));
+    crash("s@1", request("first", "deadly", "d1"));
+    crash("t@1", request("first", "deadly", "d1"));
+    crash("s@2", request("first", "deadly", "d1"));
+    assertThat(isBlocked("first", "deadly", "d2")).isTrue();
+    assertThat(isBlocked("first", "sound", "d3")).isFalse();
+  }
+
   /** Guards against counting one crash several times because several entries report it. */
   @Test
   void countsOneCrashPerServerIncarnation() {
