Reject requests with a transfer coding other than chunked

Cause: Netty's decoder treats a request with a coding that it does not know as one without a body, and one whose list contains "chunked" anywhere as chunked. StrictServerCodec rejected only content length beside chunked, in a hook that Netty calls for HTTP/1.1 alone. The other recipients of the request then find its end elsewhere.

Change: TransferFraming accepts exactly "chunked", on HTTP/1.1, without a content length; the decoder answers anything else with 400 and closes. It is checked once per complete head, so it cannot be bypassed by the order or the number of the header fields.

--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/StrictServerCodec.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/StrictServerCodec.java
@@ -7,8 +7,8 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 
 /**
- * Decodes requests, and rejects those with both a content length and chunked encoding: two servers
- * could disagree about where such a request ends, which allows request smuggling.
+ * Decodes requests, and rejects those with ambiguous framing: two servers could disagree about
+ * where such a request ends, which allows request smuggling.
  */
 final class StrictServerCodec
     extends CombinedChannelDuplexHandler<HttpRequestDecoder, HttpResponseEncoder> {
@@ -22,10 +22,11 @@
       super(config);
     }
 
+    /** Called once for each complete head, before the decoder determines where the body ends. */
     @Override
-    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-      throw new IllegalArgumentException(
-          "both Content-Length and Transfer-Encoding: chunked are present");
+    protected boolean isContentAlwaysEmpty(HttpMessage head) {
+      TransferFraming.check(head);
+      return super.isContentAlwaysEmpty(head);
     }
   }
 }
--- a/samphiregauge-net/src/test/java/io/samphiregauge/net/RequestSequencerTest.java
+++ b/samphiregauge-net/src/test/java/io/samphiregauge/net/RequestSequencerTest.java
@@ -23,6 +23,8 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against callers that send slowly, exceed the size limits, or do not send valid HTTP. */
 class RequestSequencerTest {
@@ -86,6 +88,49 @@
             "431 head_too_large", "413 body_too_large", "413 body_too_large", "413 body_too_large");
   }
 
+  /**
+   * Guards against request smuggling: a request whose transfer coding does not mark its end was
+   * handled as one without a body, and the bytes behind its head as another request.
+   */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "Transfer-Encoding: identity",
+        "Transfer-Encoding: gzip",
+        "Transfer-Encoding: chunked, identity",
+        "Transfer-Encoding: gzip, chunked",
+        "Transfer-Encoding: xchunked",
+        "Transfer-Encoding: chunked;q=1",
+        "Transfer-Encoding:",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity",
+        "Transfer-Encoding: identity\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: identity\r\nContent-Length: 0",
+        "Content-Length: 0\r\nTransfer-Encoding: gzip",
+        "Transfer-Encoding: chunked\r\nContent-Length: 5",
+        "transfer-ENCODING:\r\n\tgzip",
+      })
+  void requestBehindUnsupportedTransferCodingIsNotHandled(String framing) {
+    send(
+        "POST /outer HTTP/1.1\r\nHost: h\r\n%s\r\n\r\n0\r\n\r\n".formatted(framing)
+            + "POST /inner HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+    assertThat(handled).containsExactly("400 malformed_request");
+    assertThat(channel.isOpen()).isFalse();
+  }
+
+  /** Guards against an HTTP/1.0 request that a later recipient would not read as chunked. */
+  @Test
+  void chunkedHttp10RequestIsNotHandled() {
+    send("POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nPOST /x HTTP/1.0\r\n\r\n");
+    assertThat(handled).containsExactly("400 malformed_request");
+  }
+
+  /** Guards against rejecting the one supported coding because of its case. */
+  @Test
+  void acceptsChunkedInAnyCase() {
+    send("POST /1 HTTP/1.1\r\ntransfer-encoding: Chunked \r\n\r\n1\r\nx\r\n0\r\n\r\n");
+    assertThat(handled).containsExactly("/1");
+  }
+
   @Test
   void queuesPipelinedRequestsAndStopsReading() {
     channel = open(false);
