Reject answers with a transfer coding other than chunked

ResponseCodec now applies TransferFraming like the decoder of requests; such an answer counts as lost, and the caller gets a 502.

--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/ResponseCodec.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/ResponseCodec.java
@@ -16,7 +16,8 @@
 
 /**
  * Encodes requests and decodes responses, one request at a time. Unlike Netty's client codec, it
- * shows whether bytes of a further response have arrived.
+ * shows whether bytes of a further response have arrived, and rejects responses with ambiguous
+ * framing.
  */
 final class ResponseCodec
     extends CombinedChannelDuplexHandler<ResponseCodec.Decoder, ResponseCodec.Encoder> {
@@ -75,8 +76,10 @@
       }
     }
 
+    /** Called once for each complete head, before the decoder determines where the body ends. */
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
+      TransferFraming.check(message);
       boolean interim =
           message instanceof HttpResponse response
               && response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
