Refuse requests in a planned stop that may outlast it

Cause: the listener stays open for callers with older responses of the directory, while the process exits 0.7 s before SIGKILL whatever runs. A request that arrived in between was accepted with its whole deadline.

Others are refused at once with 503 "shutting_down": they have not run, and another entry can serve them.

--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/Gateway.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/Gateway.java
@@ -2,6 +2,8 @@
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.samphiregauge.core.DualTimestamp;
+import io.samphiregauge.core.admit.ShutdownWindow;
 import io.samphiregauge.core.result.Result;
 import io.samphiregauge.gateway.control.GatewayControl;
 import io.samphiregauge.gateway.port.Dialect;
@@ -42,6 +44,9 @@
   /** Time before SIGKILL at which the process exits by itself. */
   private static final long EXIT_MARGIN_MS = 700;
 
+  /** Time before the exit at which the last response must be written. */
+  private static final long LAST_RESPONSE_MARGIN_MS = 100;
+
   private final EventLoopGroup loops;
   private final EntrySettings settings;
   private final GroupMember self;
@@ -165,17 +170,18 @@
   }
 
   /**
-   * Stops gracefully: directs callers to other entries, then closes the listener, then waits for
-   * running requests to complete.
+   * Stops gracefully: directs callers to other entries, refuses requests that may outlast the
+   * shutdown grace period, then closes the listener, then waits for running requests to complete.
    *
    * @return completes when no request is running, or when the shutdown grace period ends
    */
   public CompletableFuture<Void> stop() {
     stopping = true;
     LOG.log(Level.INFO, "event=stopping vm={0}", self.vm());
-    traffic.disableKeepAlive();
-    control.leave();
     long graceMs = settings.getShutdownGraceS() * MS_PER_S - EXIT_MARGIN_MS;
+    long nowMs = DualTimestamp.monotonicNowMs();
+    traffic.beginShutdown(new ShutdownWindow(nowMs, nowMs + graceMs - LAST_RESPONSE_MARGIN_MS));
+    control.leave();
     CompletableFuture<Void> finished = new CompletableFuture<>();
     loops
         .next()
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/CallerHandler.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/CallerHandler.java
@@ -10,13 +10,15 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.samphiregauge.core.DualTimestamp;
+import io.samphiregauge.core.admit.ShutdownWindow;
 import io.samphiregauge.core.result.Failure;
+import io.samphiregauge.core.result.Result;
 import io.samphiregauge.net.RequestError;
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.Optional;
-import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 
 /**
  * Handles the requests on one caller's connection. The preceding handlers aggregate each request
@@ -25,13 +27,22 @@
 final class CallerHandler extends ChannelDuplexHandler {
   private static final Logger LOG = System.getLogger(CallerHandler.class.getName());
 
+  /** Retry-After during a shutdown; another entry can serve the request at once. */
+  private static final long SHUTDOWN_RETRY_MS = 50;
+
   private final EventLoopContext loopContext;
-  private final BooleanSupplier stopping;
+  private final Supplier<Optional<ShutdownWindow>> shutdown;
   private Optional<ProxyExchange> exchange = Optional.empty();
 
-  CallerHandler(EventLoopContext loopContext, BooleanSupplier stopping) {
+  /**
+   * Creates the handler of a connection.
+   *
+   * @param loopContext state of the event loop of the connection
+   * @param shutdown provides the shutdown of this entry, once it has begun
+   */
+  CallerHandler(EventLoopContext loopContext, Supplier<Optional<ShutdownWindow>> shutdown) {
     this.loopContext = loopContext;
-    this.stopping = stopping;
+    this.shutdown = shutdown;
   }
 
   @Override
@@ -42,6 +53,7 @@
       loopContext
           .router()
           .route(request, loopContext.view(), DualTimestamp.now())
+          .flatMap(this::admitDuringShutdown)
           .fold(
               routed -> startExchange(ctx, routed), failure -> sendRefusal(ctx, request, failure));
     } else if (message instanceof RequestError error) {
@@ -55,6 +67,23 @@
     }
   }
 
+  /** Refuses a request that may still be running when this entry exits. */
+  private Result<RoutedRequest> admitDuringShutdown(RoutedRequest request) {
+    long arrivedAtMs = request.arrivedAt().monotonicMs();
+    boolean accepted =
+        shutdown
+            .get()
+            .map(window -> window.accepts(request.deadlineAtMs(), arrivedAtMs))
+            .orElse(true);
+    return accepted
+        ? Result.success(request)
+        : Result.failed(
+            ErrorResponse.notRun(
+                "shutting_down",
+                "This entry is stopping and may exit before the response.",
+                SHUTDOWN_RETRY_MS));
+  }
+
   private boolean startExchange(ChannelHandlerContext ctx, RoutedRequest request) {
     ProxyExchange started = new ProxyExchange(loopContext, ctx, request);
     exchange = Optional.of(started);
@@ -76,7 +105,7 @@
 
   @Override
   public void write(ChannelHandlerContext ctx, Object part, ChannelPromise promise) {
-    if (part instanceof HttpResponse head && stopping.getAsBoolean()) {
+    if (part instanceof HttpResponse head && shutdown.get().isPresent()) {
       HttpUtil.setKeepAlive(head, false);
     }
     if (part instanceof LastHttpContent) {
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/TrafficSide.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/TrafficSide.java
@@ -5,6 +5,7 @@
 import io.samphiregauge.core.Clock;
 import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.RandomSource;
+import io.samphiregauge.core.admit.ShutdownWindow;
 import io.samphiregauge.core.result.Result;
 import io.samphiregauge.gateway.GatewayView;
 import io.samphiregauge.gateway.GroupMember;
@@ -24,7 +25,6 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
@@ -39,18 +39,18 @@
   private static final RandomSource RANDOM = () -> ThreadLocalRandom.current().nextLong();
 
   private final GatewayMetrics metrics;
-  private final AtomicBoolean stopping;
+  private final AtomicReference<Optional<ShutdownWindow>> shutdown;
   private final PeerTransport peerTransport;
   private final HttpServer server;
 
   private TrafficSide(
       GatewayMetrics metrics,
-      AtomicBoolean stopping,
+      AtomicReference<Optional<ShutdownWindow>> shutdown,
       PeerTransport peerTransport,
       HttpServer server) {
     this.metrics = metrics;
     this.peerTransport = peerTransport;
-    this.stopping = stopping;
+    this.shutdown = shutdown;
     this.server = server;
   }
 
@@ -90,22 +90,25 @@
             callbacks,
             metrics,
             new DecisionLogWriter(eventLoop, log));
-    AtomicBoolean stopping = new AtomicBoolean();
+    AtomicReference<Optional<ShutdownWindow>> shutdown = new AtomicReference<>(Optional.empty());
     return startPeerTransport(loops, self, loopContext, callbacks.onPeerMessage())
         .flatMap(
             transport ->
-                startServer(self, eventLoop, loopContext, stopping)
-                    .map(server -> new TrafficSide(metrics, stopping, transport, server)));
+                startServer(self, eventLoop, loopContext, shutdown::get)
+                    .map(server -> new TrafficSide(metrics, shutdown, transport, server)));
   }
 
   private static Result<HttpServer> startServer(
-      GroupMember self, EventLoop eventLoop, EventLoopContext loopContext, AtomicBoolean stopping) {
+      GroupMember self,
+      EventLoop eventLoop,
+      EventLoopContext loopContext,
+      Supplier<Optional<ShutdownWindow>> shutdown) {
     return HttpServer.start(
         eventLoop,
         EventLoopContext.parseAddress(self.callerAddress()),
         HttpLimits.defaults(),
         CLOCK,
-        channel -> new CallerHandler(loopContext, stopping::get));
+        channel -> new CallerHandler(loopContext, shutdown));
   }
 
   private static Result<PeerTransport> startPeerTransport(
@@ -160,9 +163,14 @@
     peerTransport.send(peerAddress, message);
   }
 
-  /** Makes each later response close its connection, so that callers query the directory again. */
-  public void disableKeepAlive() {
-    stopping.set(true);
+  /**
+   * Makes each later response close its connection, so that callers query the directory again, and
+   * refuses requests that the shutdown does not accept any more.
+   *
+   * @param window time of the shutdown
+   */
+  public void beginShutdown(ShutdownWindow window) {
+    shutdown.set(Optional.of(window));
   }
 
   /**
