Answer requests that still run when a stopped entry exits

Requests accepted early in a planned stop and still running at its end saw their connection close without an answer, also those that may not be repeated.

A stream that has begun is broken off after its last whole event, as before.

Measured: ShutdownTest.requestThatRunsUntilTheExitGetsAnAnswer failed before with an empty answer and passes now.

--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/Gateway.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/Gateway.java
@@ -172,6 +172,7 @@
   /**
    * Stops gracefully: directs callers to other entries, refuses requests that may outlast the
    * shutdown grace period, then closes the listener, then waits for running requests to complete.
+   * Those still running at the end of the grace period are answered with an error.
    *
    * @return completes when no request is running, or when the shutdown grace period ends
    */
@@ -179,8 +180,9 @@
     stopping = true;
     LOG.log(Level.INFO, "event=stopping vm={0}", self.vm());
     long graceMs = settings.getShutdownGraceS() * MS_PER_S - EXIT_MARGIN_MS;
+    long lastResponseMs = graceMs - LAST_RESPONSE_MARGIN_MS;
     long nowMs = DualTimestamp.monotonicNowMs();
-    traffic.beginShutdown(new ShutdownWindow(nowMs, nowMs + graceMs - LAST_RESPONSE_MARGIN_MS));
+    traffic.beginShutdown(new ShutdownWindow(nowMs, nowMs + lastResponseMs));
     control.leave();
     CompletableFuture<Void> finished = new CompletableFuture<>();
     loops
@@ -189,6 +191,7 @@
             () -> traffic.closeGracefully().thenAccept(done -> finished.complete(null)),
             STALE_DIRECTORY_MS,
             TimeUnit.MILLISECONDS);
+    loops.next().schedule(traffic::endPendingRequests, lastResponseMs, TimeUnit.MILLISECONDS);
     return finished.completeOnTimeout(null, graceMs, TimeUnit.MILLISECONDS);
   }
 
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/CallerHandler.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/CallerHandler.java
@@ -13,6 +13,7 @@
 import io.samphiregauge.core.admit.ShutdownWindow;
 import io.samphiregauge.core.result.Failure;
 import io.samphiregauge.core.result.Result;
+import io.samphiregauge.net.HttpServer;
 import io.samphiregauge.net.RequestError;
 import java.io.IOException;
 import java.lang.System.Logger;
@@ -120,6 +121,15 @@
     exchange.ifPresent(current -> current.setReadEnabled(writable));
   }
 
+  @Override
+  public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+    if (event == HttpServer.RESPOND_NOW) {
+      exchange.ifPresent(ProxyExchange::onShutdownEnd);
+    } else {
+      ctx.fireUserEventTriggered(event);
+    }
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     Optional<ProxyExchange> unfinished = exchange;
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ProxyExchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ProxyExchange.java
@@ -89,6 +89,13 @@
     }
   }
 
+  /** Ends the request because the process is about to exit. */
+  void onShutdownEnd() {
+    if (!finished) {
+      fail(ErrorResponse.notRun("shutting_down", "This entry exits now.", RETRY_MS));
+    }
+  }
+
   private void tryNextServer() {
     if (finished) {
       return;
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/TrafficSide.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/TrafficSide.java
@@ -181,4 +181,9 @@
   public CompletableFuture<Void> closeGracefully() {
     return server.closeGracefully();
   }
+
+  /** Responds at once to each request that is still running, before the process exits. */
+  public void endPendingRequests() {
+    server.endPendingRequests();
+  }
 }
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/HttpServer.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/HttpServer.java
@@ -26,6 +26,9 @@
 
 /** Accepts HTTP connections and creates a separate handler for each of them. */
 public final class HttpServer implements AutoCloseable {
+  /** Event for the handler of a connection: responds to its pending request at once. */
+  public static final Object RESPOND_NOW = new Object();
+
   private static final int MAX_LINE_BYTES = 4 * 1024;
   private static final int MAX_CHUNK_BYTES = 16 * 1024;
   private static final int MAX_READS_PER_LOOP = 16;
@@ -171,6 +174,11 @@
     connections.newCloseFuture().addListener(closed -> finished.complete(null));
   }
 
+  /** Sends {@link #RESPOND_NOW} to the handler of each open connection. */
+  public void endPendingRequests() {
+    connections.forEach(connection -> connection.pipeline().fireUserEventTriggered(RESPOND_NOW));
+  }
+
   /** Stops accepting connections; open connections stay open. */
   @Override
   public void close() {
