Look for a caller's close before each send to a server

One pass of the event loop took over a second, and the close waited behind the other events of the pass. ClosedCallerFilter and the deferred send cover only a close that is read in the same pass.

Change: ProxyExchange.sendRequest, which each send passes, first reads the caller's socket itself (PeerCloseProbe) and looks at the deadline again. A connection that is not used then returns to its pool.

--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ProxyExchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ProxyExchange.java
@@ -13,6 +13,7 @@
 import io.samphiregauge.gateway.GatewayView;
 import io.samphiregauge.gateway.port.KvSource;
 import io.samphiregauge.net.HttpConnection;
+import io.samphiregauge.net.PeerCloseProbe;
 import io.samphiregauge.net.ResponseListener;
 import java.util.Optional;
 
@@ -133,13 +134,14 @@
   }
 
   private boolean sendRequest(ForwardAttempt current, HttpConnection connection) {
-    if (current.ended() || finished) {
-      connection.abandon();
+    // Each send passes here, so that whether it is still wanted is decided in one place.
+    if (current.ended() || finished || !isAwaited()) {
+      connection.release();
       return false;
     }
     // A crash may have become known while the connection was opened.
     if (crashGuard.refusal().map(this::refuse).isPresent()) {
-      connection.abandon();
+      connection.release();
       return false;
     }
     current.onSent(connection);
@@ -157,6 +159,19 @@
     return true;
   }
 
+  /** Returns whether the caller still waits and has time left; otherwise ends the request. */
+  private boolean isAwaited() {
+    if (!PeerCloseProbe.isOpen(caller.channel())) {
+      cancel();
+      return false;
+    }
+    if (request.deadlineAtMs() - DualTimestamp.monotonicNowMs() < MIN_REMAINING_MS) {
+      fail(ErrorResponse.timedOut("No time is left to send the request."));
+      return false;
+    }
+    return true;
+  }
+
   private boolean onConnectFailure(ForwardAttempt current, Failure failure) {
     if (current.ended() || finished) {
       return false;
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/HttpConnection.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/HttpConnection.java
@@ -96,6 +96,13 @@
     channel.close();
   }
 
+  /** Returns the connection to its pool without a request having been sent on it. */
+  public void release() {
+    if (channel.isActive()) {
+      returnToPool.accept(this);
+    }
+  }
+
   Address address() {
     return address;
   }
