Count the time in which a request lay unread in its deadline

The entry counted its deadline from the moment at which it had read the request, so the server got X-Deadline-Ms 1562 although 349 ms were left, and ran until 0.55 s after the caller had left. The socket was not read in between, because the event loop was busy.

Change: a periodic task measures for how long the event loop has not looked at its sockets (EventLoopLag). The deadline of a request counts from the earliest time at which it can have arrived (ArrivalRecorder). Without lag, that is the time at which it is read.

--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/CallerHandler.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/CallerHandler.java
@@ -53,7 +53,7 @@
       loopContext.metrics().increment("requests");
       loopContext
           .router()
-          .route(request, loopContext.view(), DualTimestamp.now())
+          .route(request, loopContext.view(), DualTimestamp.now(), arrivedAtMs(ctx))
           .flatMap(this::admitDuringShutdown)
           .fold(
               routed -> startExchange(ctx, routed), failure -> sendRefusal(ctx, request, failure));
@@ -68,6 +68,11 @@
     }
   }
 
+  private static long arrivedAtMs(ChannelHandlerContext ctx) {
+    return Optional.ofNullable(ctx.channel().attr(HttpServer.ARRIVED_AT_MS).get())
+        .orElseGet(DualTimestamp::monotonicNowMs);
+  }
+
   /** Refuses a request that may still be running when this entry exits. */
   private Result<RoutedRequest> admitDuringShutdown(RoutedRequest request) {
     long arrivedAtMs = request.arrivedAt().monotonicMs();
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RequestRouter.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RequestRouter.java
@@ -46,9 +46,12 @@
    * @param request the request; its reference count stays unchanged
    * @param view current control state
    * @param now time at which the request was received completely
+   * @param arrivedAtMs earliest monotonic time, in milliseconds, at which it can have arrived; the
+   *     deadline counts from then, so that no server works after the caller has given up
    * @return the routed request, or the {@link ErrorResponse} to send
    */
-  Result<RoutedRequest> route(FullHttpRequest request, GatewayView view, DualTimestamp now) {
+  Result<RoutedRequest> route(
+      FullHttpRequest request, GatewayView view, DualTimestamp now, long arrivedAtMs) {
     if (view.config().isEmpty()) {
       return Result.failed(
           ErrorResponse.notRun("no_config", "No configuration is known yet.", RETRY_MS));
@@ -83,7 +86,7 @@
             requiresKey ? team : Optional.empty(),
             meta.prompt().filter(prompt -> hasEngine),
             now,
-            now.monotonicMs() + timeoutMs));
+            arrivedAtMs + timeoutMs));
   }
 
   /** Returns whether the view is recent enough to accept the keys that it contains. */
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/HttpServer.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/HttpServer.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
@@ -16,10 +17,13 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.AttributeKey;
 import io.samphiregauge.core.Clock;
 import io.samphiregauge.core.result.Result;
 import java.net.InetSocketAddress;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -29,6 +33,12 @@
   /** Event for the handler of a connection: responds to its pending request at once. */
   public static final Object RESPOND_NOW = new Object();
 
+  /**
+   * Attribute of a connection: the earliest time, by the clock of the server, at which its present
+   * request can have arrived. Set only by a server started with {@link HttpLimits}.
+   */
+  public static final AttributeKey<Long> ARRIVED_AT_MS = AttributeKey.valueOf("arrivedAtMs");
+
   private static final int MAX_LINE_BYTES = 4 * 1024;
   private static final int MAX_CHUNK_BYTES = 16 * 1024;
   private static final int MAX_READS_PER_LOOP = 16;
@@ -120,20 +130,33 @@
       HttpLimits limits,
       Clock clock,
       Function<Channel, ChannelHandler> handler) {
+    Map<EventLoop, EventLoopLag> lags = new ConcurrentHashMap<>();
     return bind(
         loops,
         address,
-        pipeline -> addRequestHandlers(pipeline, limits, clock, handler.apply(pipeline.channel())));
+        pipeline ->
+            addRequestHandlers(
+                pipeline,
+                limits,
+                clock,
+                lags.computeIfAbsent(
+                    pipeline.channel().eventLoop(), loop -> EventLoopLag.start(loop, clock)),
+                handler.apply(pipeline.channel())));
   }
 
   static void addRequestHandlers(
-      ChannelPipeline pipeline, HttpLimits limits, Clock clock, ChannelHandler handler) {
+      ChannelPipeline pipeline,
+      HttpLimits limits,
+      Clock clock,
+      EventLoopLag lag,
+      ChannelHandler handler) {
     RequestSequencer sequencer = new RequestSequencer(limits, clock);
     pipeline
         .addLast(sequencer.arrivalHandler())
         .addLast(strictCodec(limits))
         .addLast(sequencer)
         .addLast(new BodyLimit(limits.maxBodyBytes()))
+        .addLast(new ArrivalRecorder(lag, clock))
         .addLast(new ClosedCallerFilter())
         .addLast(handler);
   }
--- a/samphiregauge-net/src/test/java/io/samphiregauge/net/RequestSequencerTest.java
+++ b/samphiregauge-net/src/test/java/io/samphiregauge/net/RequestSequencerTest.java
@@ -195,7 +195,11 @@
     EmbeddedChannel embedded = new EmbeddedChannel();
     embedded.freezeTime();
     HttpServer.addRequestHandlers(
-        embedded.pipeline(), LIMITS, () -> nowMs, new RecordingHandler(respond));
+        embedded.pipeline(),
+        LIMITS,
+        () -> nowMs,
+        new EventLoopLag(() -> nowMs),
+        new RecordingHandler(respond));
     return embedded;
   }
 
