Avoid servers whose responses say that they leave or want a wait

The entry read neither, so requests went on to both kinds of servers.

Change: ResponseMeta carries both statements; the adapter alone knows the headers. ServerNotices (core, without I/O) decides whether an incarnation may be contacted. A leaving one never is again, whatever its announcement says; only a later start ends that. A value that makes no sense counts as a failure of the server and as no wait. ServerLoadTable asks it for each choice, ProxyExchange again before each send. While all servers of a service wait, a request is held if the wait ends within its objective, and else refused at once with the shortest wait.

Not measured yet: the comparison side by side, the soak with both faults.

--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/AttemptPlanner.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/AttemptPlanner.java
@@ -1,5 +1,6 @@
 package io.samphiregauge.gateway.traffic;
 
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.admit.AdmissionPolicy;
 import io.samphiregauge.core.admit.Refusal;
 import io.samphiregauge.core.dispatch.EngineRates;
@@ -13,6 +14,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Supplier;
 
@@ -50,16 +52,18 @@
    * Starts the next attempt.
    *
    * @param nowMs monotonic time in milliseconds
-   * @return the attempt, or the error to send if no server can respond in time
+   * @return the attempt, or the {@link ErrorResponse} to send if no server can respond in time, or
+   *     {@link ServersPaused} if all servers that could have asked for a pause
    */
   Result<ForwardAttempt> next(long nowMs) {
-    List<ServerLoad> candidates = context.serverLoads().candidates(request.service(), triedServers);
+    List<ServerLoad> candidates =
+        context.serverLoads().candidates(request.service(), triedServers, nowMs);
     ServerChooser chooser = context.chooser();
     if (request.prompt().isEmpty()) {
       return chooser
           .chooseServer(candidates, nowMs)
           .map(load -> admit(load.expectedMs(), nowMs, () -> ForwardAttempt.withoutPrompt(load)))
-          .orElseGet(AttemptPlanner::noServer);
+          .orElseGet(() -> noServer(nowMs));
     }
     Prompt prompt = request.prompt().orElseThrow();
     EngineRates rates = context.engineRates(request.service());
@@ -70,7 +74,7 @@
           .chooseDecodeEngine(candidates, source.server().domain(), rates, nowMs)
           .map(load -> ForwardAttempt.fromKvCache(load, source, backupFor(load, nowMs)))
           .map(Result::success)
-          .orElseGet(AttemptPlanner::noServer);
+          .orElseGet(() -> noServer(nowMs));
     }
     List<ServerLoad> prefillCandidates =
         prefillFailed
@@ -84,16 +88,18 @@
                     plan.firstTokenMs(),
                     nowMs,
                     () -> ForwardAttempt.fromPlan(plan, backupFor(plan.server(), nowMs))))
-        .orElseGet(AttemptPlanner::noServer);
+        .orElseGet(() -> noServer(nowMs));
+  }
+
+  /** Returns the monotonic time in milliseconds at which the caller gives up without progress. */
+  long givesUpAtMs() {
+    return Math.min(
+        request.deadlineAtMs(), request.arrivedAt().monotonicMs() + request.route().patienceMs());
   }
 
   private Result<ForwardAttempt> admit(
       double expectedMs, long nowMs, Supplier<ForwardAttempt> attempt) {
-    long giveUpAtMs =
-        Math.min(
-            request.deadlineAtMs(),
-            request.arrivedAt().monotonicMs() + request.route().patienceMs());
-    return AdmissionPolicy.decide(expectedMs, giveUpAtMs - nowMs, context.random().nextDouble())
+    return AdmissionPolicy.decide(expectedMs, givesUpAtMs() - nowMs, context.random().nextDouble())
         .map(AttemptPlanner::toError)
         .orElseGet(() -> Result.success(attempt.get()));
   }
@@ -103,10 +109,18 @@
         ErrorResponse.notRun(refusal.type(), refusal.message(), refusal.retryAfterMs()));
   }
 
-  private static Result<ForwardAttempt> noServer() {
+  /**
+   * Returns the failure if no server can be used now: until when to wait for the first one, or the
+   * error to send.
+   */
+  private Result<ForwardAttempt> noServer(long nowMs) {
+    OptionalLong pauseEndsAtMs =
+        context.serverLoads().pauseEndsAtMs(request.service(), triedServers, nowMs);
     return Result.failed(
-        ErrorResponse.notRun(
-            "no_server", "No server of the service can be used.", NO_SERVER_RETRY_MS));
+        pauseEndsAtMs.isPresent()
+            ? new ServersPaused(pauseEndsAtMs.getAsLong())
+            : ErrorResponse.notRun(
+                "no_server", "No server of the service can be used.", NO_SERVER_RETRY_MS));
   }
 
   /**
@@ -122,7 +136,7 @@
       return Optional.empty();
     }
     return ServerChooser.chooseBackup(
-        context.serverLoads().candidates(request.service(), Set.of()),
+        context.serverLoads().candidates(request.service(), Set.of(), nowMs),
         runner,
         request.attemptId(),
         nowMs);
@@ -137,7 +151,7 @@
    */
   Optional<ForwardAttempt> continueFromBackup(ForwardAttempt lost) {
     return lost.backup()
-        .filter(load -> context.serverLoads().isUsable(load.server().incarnation()))
+        .filter(load -> context.serverLoads().isUsable(load, DualTimestamp.monotonicNowMs()))
         .map(
             load ->
                 ForwardAttempt.fromKvCache(
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/CrashDetector.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/CrashDetector.java
@@ -139,7 +139,7 @@
     context.view();
     if (check.load.isUnreachable()) {
       report(check, "unreachable");
-    } else if (!context.serverLoads().isUsable(check.incarnation())) {
+    } else if (!context.serverLoads().isAnnounced(check.incarnation())) {
       report(check, "not_announced");
     }
     if (!check.reported) {
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
@@ -54,6 +54,8 @@
   private final PooledHttpClient httpClient;
   private final ServerChooser chooser;
   private final ServerLoadTable serverLoads = new ServerLoadTable();
+  private final ServerNoticeRecorder serverNotices = new ServerNoticeRecorder(this);
+  private final HeldRequests heldRequests = new HeldRequests();
   private final CachedPromptBuffer cachedPrompts = new CachedPromptBuffer();
   private final CrashDetector crashDetector;
   private final BufferBudget bufferBudget = new BufferBudget();
@@ -134,6 +136,14 @@
     return serverLoads;
   }
 
+  ServerNoticeRecorder serverNotices() {
+    return serverNotices;
+  }
+
+  HeldRequests heldRequests() {
+    return heldRequests;
+  }
+
   CachedPromptBuffer cachedPrompts() {
     return cachedPrompts;
   }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ProxyExchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ProxyExchange.java
@@ -9,6 +9,8 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.samphiregauge.core.DualTimestamp;
+import io.samphiregauge.core.admit.WaitPolicy;
+import io.samphiregauge.core.dispatch.ServerLoad;
 import io.samphiregauge.core.result.Failure;
 import io.samphiregauge.gateway.GatewayView;
 import io.samphiregauge.gateway.port.KvSource;
@@ -48,6 +50,7 @@
   private final AttemptPlanner planner;
   private final ReceivedResponses responses;
   private final AttemptConnector connector;
+  private final Runnable resumeAction = this::tryNextServer;
   private Optional<ForwardAttempt> attempt = Optional.empty();
   private int sendCount;
   private int connectFailures;
@@ -114,7 +117,35 @@
       fail(RequestRouter.staleConfigError());
       return;
     }
-    planner.next(now.monotonicMs()).fold(this::connect, failure -> refuse((ErrorResponse) failure));
+    planner.next(now.monotonicMs()).fold(this::connect, this::onNoServer);
+  }
+
+  private boolean onNoServer(Failure failure) {
+    return failure instanceof ServersPaused paused
+        ? holdOrRefuse(paused)
+        : refuse((ErrorResponse) failure);
+  }
+
+  /** Holds the request until the pause of the servers ends if that is soon, or refuses it. */
+  private boolean holdOrRefuse(ServersPaused paused) {
+    long nowMs = DualTimestamp.monotonicNowMs();
+    long waitMs = Math.max(1, paused.untilMs() - nowMs);
+    long arrivedAtMs = request.arrivedAt().monotonicMs();
+    long objectiveMs = arrivedAtMs + request.route().targetLatencyMs() - nowMs;
+    long patienceMs = planner.givesUpAtMs() - nowMs;
+    if (!WaitPolicy.isWorthHolding(waitMs, MIN_REMAINING_MS, objectiveMs, patienceMs)) {
+      return refuse(ErrorResponse.notRun(paused.type(), paused.message(), waitMs));
+    }
+    log.add("held", "wait_ms=" + waitMs);
+    context.heldRequests().add(request.service(), resumeAction);
+    context.schedule(waitMs, this::resumeByTimer);
+    return false;
+  }
+
+  private void resumeByTimer() {
+    if (context.heldRequests().remove(request.service(), resumeAction)) {
+      tryNextServer();
+    }
   }
 
   private boolean refuse(ErrorResponse error) {
@@ -124,6 +155,7 @@
 
   private boolean connect(ForwardAttempt current) {
     attempt = Optional.of(current);
+    context.serverNotices().onChosen(current.load());
     connector.connect(
         current,
         opened ->
@@ -139,6 +171,10 @@
       connection.release();
       return false;
     }
+    if (isClosed(current.load())) {
+      connection.release();
+      return onServerClosed(current);
+    }
     // A crash may have become known while the connection was opened.
     if (crashGuard.refusal().map(this::refuse).isPresent()) {
       connection.release();
@@ -192,6 +228,21 @@
     return false;
   }
 
+  private boolean isClosed(ServerLoad load) {
+    return context.serverLoads().notices().isClosed(load.server(), DualTimestamp.monotonicNowMs());
+  }
+
+  /** Handles a server that said that it wants no requests while the connection was opened. */
+  private boolean onServerClosed(ForwardAttempt current) {
+    current.end();
+    if (continued) {
+      fail(ErrorResponse.outcomeUnknown("answer_lost", "The server's answer was lost."));
+    } else {
+      tryNextServer();
+    }
+    return false;
+  }
+
   private FullHttpRequest createRequest(ForwardAttempt current) {
     return OutboundRequestFactory.create(
         request,
@@ -208,6 +259,7 @@
       }
       if (part instanceof HttpResponse head) {
         responses.begin(head);
+        context.serverNotices().onResponseHead(current, responses.current(), request.attemptId());
       }
       if (part instanceof HttpContent content) {
         onContent(current, responses.current(), content.content());
@@ -487,6 +539,7 @@
 
   private void finish() {
     finished = true;
+    context.heldRequests().remove(request.service(), resumeAction);
     freeUnusedKvCache();
     responses.release();
     writer.release();
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RetainedKvCache.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RetainedKvCache.java
@@ -1,6 +1,7 @@
 package io.samphiregauge.gateway.traffic;
 
 import io.netty.handler.codec.http.HttpMethod;
+import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.gateway.port.KvSource;
 import io.samphiregauge.net.PooledHttpClient;
 import java.util.Optional;
@@ -37,14 +38,19 @@
   void free() {
     Optional<KvSource> unused = source;
     source = Optional.empty();
-    unused.ifPresent(
-        kvSource ->
-            context
-                .httpClient()
-                .send(
-                    EventLoopContext.parseAddress(kvSource.server().address()),
-                    PooledHttpClient.Request.empty(
-                        HttpMethod.DELETE, context.dialect().kvFreePath().apply(kvSource.handle())),
-                    FREE_TIMEOUT_MS));
+    // A server that wants a pause frees the memory itself when the handle expires.
+    long nowMs = DualTimestamp.monotonicNowMs();
+    unused
+        .filter(kvSource -> !context.serverLoads().notices().isClosed(kvSource.server(), nowMs))
+        .ifPresent(
+            kvSource ->
+                context
+                    .httpClient()
+                    .send(
+                        EventLoopContext.parseAddress(kvSource.server().address()),
+                        PooledHttpClient.Request.empty(
+                            HttpMethod.DELETE,
+                            context.dialect().kvFreePath().apply(kvSource.handle())),
+                        FREE_TIMEOUT_MS));
   }
 }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServerLoadTable.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServerLoadTable.java
@@ -2,24 +2,34 @@
 
 import io.samphiregauge.core.backend.BackendServer;
 import io.samphiregauge.core.dispatch.ServerLoad;
+import io.samphiregauge.core.dispatch.ServerNotices;
 import io.samphiregauge.core.site.EngineSpec;
 import io.samphiregauge.core.site.SiteConfig;
 import io.samphiregauge.gateway.GatewayView;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
-/** Holds the load of each usable backend server, by service. Confined to one event loop. */
+/**
+ * Holds the load of each announced backend server, by service, and decides which of them a request
+ * may use. Confined to one event loop.
+ */
 final class ServerLoadTable {
+  private static final Logger LOG = System.getLogger(ServerLoadTable.class.getName());
+
   /** Latency assumed for a server of a service without engines before its first response. */
   private static final double INITIAL_LATENCY_MS = 40;
 
   private final Map<String, ServerLoad> byIncarnation = new HashMap<>();
   private final Map<Integer, ServerLoad> byKey = new HashMap<>();
+  private final ServerNotices notices = new ServerNotices();
   private Map<String, List<ServerLoad>> byService = Map.of();
   private long serversVersion = -1;
 
@@ -43,6 +53,14 @@
       loadsByService.computeIfAbsent(server.service(), name -> new ArrayList<>()).add(load);
     }
     byService = loadsByService;
+    previous.values().stream()
+        .filter(load -> !byIncarnation.containsKey(load.server().incarnation()))
+        .filter(load -> notices.isLeaving(load.server()))
+        .forEach(load -> logGone(load.server()));
+  }
+
+  private static void logGone(BackendServer server) {
+    LOG.log(Level.INFO, "event=leaving_server_gone backend={0}", server.incarnation());
   }
 
   private static ServerLoad newLoad(BackendServer server, SiteConfig config) {
@@ -50,8 +68,13 @@
     return new ServerLoad(server, kvTokens, INITIAL_LATENCY_MS);
   }
 
-  /** Returns whether this incarnation of a server may still receive requests. */
-  boolean isUsable(String incarnation) {
+  /** Returns what the servers have said about themselves. */
+  ServerNotices notices() {
+    return notices;
+  }
+
+  /** Returns whether this incarnation of a server is announced. */
+  boolean isAnnounced(String incarnation) {
     return byIncarnation.containsKey(incarnation);
   }
 
@@ -65,14 +88,49 @@
     return byIncarnation.values();
   }
 
-  /** Returns the servers of a service, except those that a request has already tried. */
-  List<ServerLoad> candidates(String service, Set<String> triedIncarnations) {
+  /**
+   * Returns the servers of a service that a request may use.
+   *
+   * @param service name of the service
+   * @param triedIncarnations servers that the request has already tried
+   * @param nowMs monotonic time in milliseconds
+   * @return announced servers that were not tried, do not leave, and do not want a pause
+   */
+  List<ServerLoad> candidates(String service, Set<String> triedIncarnations, long nowMs) {
     List<ServerLoad> all = byService.getOrDefault(service, List.of());
-    if (triedIncarnations.isEmpty()) {
+    if (triedIncarnations.isEmpty() && notices.isEmpty()) {
       return all;
     }
     return all.stream()
         .filter(load -> !triedIncarnations.contains(load.server().incarnation()))
+        .filter(load -> notices.mayContact(load.server(), nowMs))
         .toList();
   }
+
+  /**
+   * Returns whether a request may use a certain server.
+   *
+   * @param load the server
+   * @param nowMs monotonic time in milliseconds
+   */
+  boolean isUsable(ServerLoad load, long nowMs) {
+    return isAnnounced(load.server().incarnation()) && notices.mayContact(load.server(), nowMs);
+  }
+
+  /**
+   * Returns when a request may use the first of the servers that want a pause.
+   *
+   * @param service name of the service
+   * @param triedIncarnations servers that the request has already tried
+   * @param nowMs monotonic time in milliseconds
+   * @return the time in monotonic milliseconds; empty if no server wants a pause
+   */
+  OptionalLong pauseEndsAtMs(String service, Set<String> triedIncarnations, long nowMs) {
+    return byService.getOrDefault(service, List.of()).stream()
+        .map(ServerLoad::server)
+        .filter(server -> !triedIncarnations.contains(server.incarnation()))
+        .filter(server -> !notices.mayContact(server, nowMs))
+        .flatMapToLong(server -> notices.contactableAtMs(server, nowMs).stream())
+        .min();
+  }
 }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServerResponse.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServerResponse.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.samphiregauge.core.result.Result;
 import io.samphiregauge.gateway.port.Dialect;
 import io.samphiregauge.gateway.port.ResponseMeta;
 import java.util.Locale;
@@ -72,6 +73,16 @@
     return head.status().codeClass() == HttpStatusClass.SERVER_ERROR;
   }
 
+  /** Returns whether the server states that it is shutting down. */
+  boolean isFromLeavingServer() {
+    return meta.leaving();
+  }
+
+  /** Returns the time in milliseconds for which the server wants no requests, if it states one. */
+  Optional<Result<Long>> requestedWaitMs() {
+    return meta.waitMs();
+  }
+
   /** Returns whether the server guarantees that the request has not run and will not run. */
   boolean isRejection() {
     return meta.notExecuted() || status() == MISDIRECTED;
--- /dev/null
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServersPaused.java
@@ -0,0 +1,20 @@
+package io.samphiregauge.gateway.traffic;
+
+import io.samphiregauge.core.result.Failure;
+
+/**
+ * Every server that could serve a request has asked for a pause.
+ *
+ * @param untilMs monotonic time in milliseconds at which the first of them may be used again
+ */
+record ServersPaused(long untilMs) implements Failure {
+  @Override
+  public String type() {
+    return "servers_paused";
+  }
+
+  @Override
+  public String message() {
+    return "Every server of the service has asked for a pause.";
+  }
+}
