Send no body in responses to HEAD requests

Cause: neither the error responses nor RequestSequencer nor the encoder knew the method of the request.

Change: RequestSequencer remembers it, and drops all bytes behind the head of a response to HEAD or with status 204 or 304, whoever makes the response.

--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/RequestSequencer.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/RequestSequencer.java
@@ -6,7 +6,9 @@
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -61,6 +63,8 @@
   private boolean closing;
   private boolean bytesReceived;
   private boolean http10;
+  private boolean headRequest;
+  private boolean bodyAllowed = true;
   private long deadlineMs = NO_DEADLINE;
   private Optional<ScheduledFuture<?>> timer = Optional.empty();
 
@@ -135,15 +139,37 @@
         ctx.write(part, promise);
         return;
       }
+      bodyAllowed = mayHaveBody(head);
       setFraming(head);
     }
     boolean last = part instanceof LastHttpContent;
-    ctx.write(part, promise);
+    if (bodyAllowed) {
+      ctx.write(part, promise);
+    } else {
+      writeWithoutBody(ctx, part, promise);
+    }
     if (last) {
       finishResponse(ctx, promise);
     }
   }
 
+  /** Drops the bytes of a body, which the caller would take for its next response. */
+  private static void writeWithoutBody(
+      ChannelHandlerContext ctx, Object part, ChannelPromise promise) {
+    boolean last = part instanceof LastHttpContent;
+    if (part instanceof HttpResponse head) {
+      HttpResponse headOnly =
+          new DefaultHttpResponse(head.protocolVersion(), head.status(), head.headers());
+      ctx.write(headOnly, last ? ctx.newPromise() : promise);
+    }
+    ReferenceCountUtil.release(part);
+    if (last) {
+      ctx.write(LastHttpContent.EMPTY_LAST_CONTENT, promise);
+    } else if (!(part instanceof HttpResponse)) {
+      promise.setSuccess();
+    }
+  }
+
   /** Sets how the end of the response is marked, and whether the connection stays open. */
   private void setFraming(HttpResponse head) {
     boolean chunked = HttpUtil.isTransferEncodingChunked(head);
@@ -159,9 +185,9 @@
     HttpUtil.setKeepAlive(head.headers(), HttpVersion.HTTP_1_1, keepAlive);
   }
 
-  private static boolean mayHaveBody(HttpResponse head) {
+  private boolean mayHaveBody(HttpResponse head) {
     int status = head.status().code();
-    return status != 204 && status != 304;
+    return !headRequest && status != 204 && status != 304;
   }
 
   private void finishResponse(ChannelHandlerContext ctx, ChannelPromise promise) {
@@ -212,6 +238,7 @@
     if (part instanceof HttpRequest head) {
       state = State.BODY;
       keepAlive = HttpUtil.isKeepAlive(head);
+      headRequest = head.method().equals(HttpMethod.HEAD);
       http10 = head.protocolVersion().compareTo(HttpVersion.HTTP_1_1) < 0;
       setDeadline(ctx, limits.bodyTimeoutMs());
     }
--- a/samphiregauge-net/src/test/java/io/samphiregauge/net/RequestSequencerTest.java
+++ b/samphiregauge-net/src/test/java/io/samphiregauge/net/RequestSequencerTest.java
@@ -9,10 +9,13 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -24,6 +27,7 @@
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against callers that send slowly, exceed the size limits, or do not send valid HTTP. */
@@ -131,6 +135,53 @@
     assertThat(handled).containsExactly("/1");
   }
 
+  /**
+   * Guards against a body that the caller takes for its next response: none follows the head of a
+   * response to HEAD, or with status 204 or 304, whoever makes the response.
+   */
+  @ParameterizedTest
+  @CsvSource({"HEAD,503", "HEAD,200", "HEAD,404", "GET,204", "GET,304"})
+  void responseWithoutBodyIsFollowedByTheNextResponse(String method, int status) {
+    channel = open(false);
+    send(method + " /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+    var refused =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1,
+            HttpResponseStatus.valueOf(status),
+            Unpooled.copiedBuffer("{\"error\":1}", StandardCharsets.UTF_8));
+    refused.headers().set(HttpHeaderNames.CONTENT_LENGTH, 11);
+    channel.writeOutbound(refused);
+    channel.runPendingTasks();
+    assertThat(handled).containsExactly("/1", "/2");
+    channel.writeOutbound(ok());
+    String sent = outboundText();
+    assertThat(sent).doesNotContain("error");
+    assertThat(sent.split("\r\n\r\n", -1)).hasSize(3);
+    assertThat(refused.refCnt()).isZero();
+  }
+
+  /** Guards against chunks, or their end, behind the head of a response in parts. */
+  @Test
+  void headResponseInPartsHasNoBody() {
+    channel = open(false);
+    send("HEAD /1 HTTP/1.1\r\n\r\n");
+    channel.writeOutbound(
+        new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK),
+        new DefaultHttpContent(Unpooled.copiedBuffer("data", StandardCharsets.UTF_8)),
+        LastHttpContent.EMPTY_LAST_CONTENT);
+    assertThat(outboundText().split("\r\n\r\n", -1)).hasSize(2).endsWith("");
+    assertThat(channel.isOpen()).isTrue();
+  }
+
+  /** Guards against an HTTP/1.0 caller that waits for a body, or whose connection stays open. */
+  @Test
+  void headResponseToHttp10ClosesTheConnection() {
+    channel = open(true);
+    send("HEAD /1 HTTP/1.0\r\n\r\n");
+    assertThat(outboundText()).endsWith("\r\n\r\n");
+    assertThat(channel.isOpen()).isFalse();
+  }
+
   @Test
   void queuesPipelinedRequestsAndStopsReading() {
     channel = open(false);
@@ -218,14 +269,22 @@
     return statuses(channel);
   }
 
-  private static List<String> statuses(EmbeddedChannel channel) {
+  private String outboundText() {
+    return outboundText(channel);
+  }
+
+  private static String outboundText(EmbeddedChannel channel) {
     StringBuilder text = new StringBuilder();
     for (ByteBuf part = channel.readOutbound(); part != null; part = channel.readOutbound()) {
       text.append(part.toString(StandardCharsets.ISO_8859_1));
       part.release();
     }
+    return text.toString();
+  }
+
+  private static List<String> statuses(EmbeddedChannel channel) {
     return STATUS
-        .matcher(text)
+        .matcher(outboundText(channel))
         .results()
         .map(result -> result.group(1))
         .filter(status -> !status.equals("100"))
