--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/EventLoopLag.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/EventLoopLag.java
@@ -12,16 +12,18 @@
 final class EventLoopLag {
   private static final long PERIOD_MS = 100;
 
-  /** Times between two runs of the task that are usual for an event loop without lag. */
+  /** Time since the task was last due that is usual for an event loop without lag. */
   private static final long USUAL_MS = 2 * PERIOD_MS;
 
   private final Clock clock;
-  private long lastRunMs;
+  private long lastDueMs;
+  private long nextDueMs;
   private long runs;
 
   EventLoopLag(Clock clock) {
     this.clock = clock;
-    this.lastRunMs = clock.nowMs();
+    this.lastDueMs = clock.nowMs();
+    this.nextDueMs = lastDueMs + PERIOD_MS;
   }
 
   /** Starts to measure the lag of an event loop, until it shuts down. */
@@ -31,8 +33,13 @@
     return lag;
   }
 
+  /**
+   * Records a run of the periodic task. What counts is when it was due: if it runs late, the event
+   * loop was busy with other tasks until now, and has not looked at its sockets since.
+   */
   void recordRun() {
-    lastRunMs = clock.nowMs();
+    lastDueMs = nextDueMs;
+    nextDueMs = clock.nowMs() + PERIOD_MS;
     runs++;
   }
 
@@ -43,7 +50,7 @@
 
   /** Returns for how long bytes that are read now may have lain in their socket, at most. */
   long unreadMs() {
-    long sinceLastRunMs = clock.nowMs() - lastRunMs;
-    return sinceLastRunMs <= USUAL_MS ? 0 : sinceLastRunMs;
+    long sinceLastDueMs = clock.nowMs() - lastDueMs;
+    return sinceLastDueMs <= USUAL_MS ? 0 : sinceLastDueMs;
   }
 }
