--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/CallerResponseWriter.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/CallerResponseWriter.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.samphiregauge.net.PeerCloseProbe;
 import java.util.Optional;
 
 /**
@@ -24,6 +25,11 @@
     this.splitter = isStream ? Optional.of(new SseEventSplitter(caller.alloc())) : Optional.empty();
   }
 
+  /** Returns whether the caller has kept its connection open, as of this moment. */
+  boolean isCallerConnected() {
+    return PeerCloseProbe.isOpen(caller.channel());
+  }
+
   /** Returns whether a part of the response was written, so that its status is fixed. */
   boolean started() {
     return started;
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ProxyExchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ProxyExchange.java
@@ -9,13 +9,10 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.samphiregauge.core.DualTimestamp;
-import io.samphiregauge.core.admit.WaitPolicy;
-import io.samphiregauge.core.dispatch.ServerLoad;
 import io.samphiregauge.core.result.Failure;
 import io.samphiregauge.gateway.GatewayView;
 import io.samphiregauge.gateway.port.KvSource;
 import io.samphiregauge.net.HttpConnection;
-import io.samphiregauge.net.PeerCloseProbe;
 import io.samphiregauge.net.ResponseListener;
 import java.util.Optional;
 
@@ -44,13 +41,13 @@
   private final RoutedRequest request;
   private final CallerResponseWriter writer;
   private final RetainedKvCache kvCache;
-  private final RequestAccounting accounting;
   private final RequestDecisionLog log;
   private final CrashGuard crashGuard;
+  private final AttemptRecorder recorder;
+  private final RequestHold hold;
   private final AttemptPlanner planner;
   private final ReceivedResponses responses;
   private final AttemptConnector connector;
-  private final Runnable resumeAction = this::tryNextServer;
   private Optional<ForwardAttempt> attempt = Optional.empty();
   private int sendCount;
   private int connectFailures;
@@ -66,9 +63,10 @@
     this.kvCache = new RetainedKvCache(context);
     this.planner = new AttemptPlanner(context, request, kvCache);
     this.connector = new AttemptConnector(context);
-    this.accounting = new RequestAccounting(context, request);
     this.log = new RequestDecisionLog(context, request);
     this.crashGuard = new CrashGuard(context, request, log);
+    this.recorder = new AttemptRecorder(context, request, log, crashGuard);
+    this.hold = new RequestHold(context, request, log, this::tryNextServer);
     this.writer = new CallerResponseWriter(caller, request.route().kind().isStream());
   }
 
@@ -101,15 +99,11 @@
   }
 
   private void tryNextServer() {
-    if (finished) {
+    if (finished || !hasTimeLeft()) {
       return;
     }
     GatewayView view = context.view();
     DualTimestamp now = DualTimestamp.now();
-    if (request.deadlineAtMs() - now.monotonicMs() < MIN_REMAINING_MS) {
-      fail(ErrorResponse.timedOut("No time is left to send the request."));
-      return;
-    }
     if (crashGuard.refusal().map(this::refuse).isPresent()) {
       return;
     }
@@ -121,31 +115,13 @@
   }
 
   private boolean onNoServer(Failure failure) {
-    return failure instanceof ServersPaused paused
-        ? holdOrRefuse(paused)
-        : refuse((ErrorResponse) failure);
-  }
-
-  /** Holds the request until the pause of the servers ends if that is soon, or refuses it. */
-  private boolean holdOrRefuse(ServersPaused paused) {
-    long nowMs = DualTimestamp.monotonicNowMs();
-    long waitMs = Math.max(1, paused.untilMs() - nowMs);
-    long arrivedAtMs = request.arrivedAt().monotonicMs();
-    long objectiveMs = arrivedAtMs + request.route().targetLatencyMs() - nowMs;
-    long patienceMs = planner.givesUpAtMs() - nowMs;
-    if (!WaitPolicy.isWorthHolding(waitMs, MIN_REMAINING_MS, objectiveMs, patienceMs)) {
-      return refuse(ErrorResponse.notRun(paused.type(), paused.message(), waitMs));
-    }
-    log.add("held", "wait_ms=" + waitMs);
-    context.heldRequests().add(request.service(), resumeAction);
-    context.schedule(waitMs, this::resumeByTimer);
-    return false;
-  }
-
-  private void resumeByTimer() {
-    if (context.heldRequests().remove(request.service(), resumeAction)) {
-      tryNextServer();
+    if (!(failure instanceof ServersPaused paused)) {
+      return refuse((ErrorResponse) failure);
     }
+    return hold.tryHold(paused, planner.givesUpAtMs())
+        || refuse(
+            ErrorResponse.notRun(
+                paused.type(), paused.message(), paused.waitMs(DualTimestamp.monotonicNowMs())));
   }
 
   private boolean refuse(ErrorResponse error) {
@@ -167,16 +143,7 @@
 
   private boolean sendRequest(ForwardAttempt current, HttpConnection connection) {
     // Each send passes here, so that whether it is still wanted is decided in one place.
-    if (current.ended() || finished || !isAwaited()) {
-      connection.release();
-      return false;
-    }
-    if (isClosed(current.load())) {
-      connection.release();
-      return onServerClosed(current);
-    }
-    // A crash may have become known while the connection was opened.
-    if (crashGuard.refusal().map(this::refuse).isPresent()) {
+    if (current.ended() || finished || !isAwaited() || !isAllowed(current)) {
       connection.release();
       return false;
     }
@@ -197,15 +164,33 @@
 
   /** Returns whether the caller still waits and has time left; otherwise ends the request. */
   private boolean isAwaited() {
-    if (!PeerCloseProbe.isOpen(caller.channel())) {
+    if (!writer.isCallerConnected()) {
       cancel();
       return false;
     }
-    if (request.deadlineAtMs() - DualTimestamp.monotonicNowMs() < MIN_REMAINING_MS) {
+    return hasTimeLeft();
+  }
+
+  private boolean hasTimeLeft() {
+    boolean enough = request.deadlineAtMs() - DualTimestamp.monotonicNowMs() >= MIN_REMAINING_MS;
+    if (!enough) {
       fail(ErrorResponse.timedOut("No time is left to send the request."));
-      return false;
     }
-    return true;
+    return enough;
+  }
+
+  /** Returns whether what became known while the connection was opened allows the send. */
+  private boolean isAllowed(ForwardAttempt current) {
+    if (!context.serverNotices().isClosed(current.load())) {
+      return crashGuard.refusal().map(this::refuse).isEmpty();
+    }
+    current.end();
+    if (continued) {
+      fail(ErrorResponse.outcomeUnknown("answer_lost", "The server's answer was lost."));
+    } else {
+      tryNextServer();
+    }
+    return false;
   }
 
   private boolean onConnectFailure(ForwardAttempt current, Failure failure) {
@@ -228,21 +213,6 @@
     return false;
   }
 
-  private boolean isClosed(ServerLoad load) {
-    return context.serverLoads().notices().isClosed(load.server(), DualTimestamp.monotonicNowMs());
-  }
-
-  /** Handles a server that said that it wants no requests while the connection was opened. */
-  private boolean onServerClosed(ForwardAttempt current) {
-    current.end();
-    if (continued) {
-      fail(ErrorResponse.outcomeUnknown("answer_lost", "The server's answer was lost."));
-    } else {
-      tryNextServer();
-    }
-    return false;
-  }
-
   private FullHttpRequest createRequest(ForwardAttempt current) {
     return OutboundRequestFactory.create(
         request,
@@ -273,14 +243,14 @@
   }
 
   private void onContent(ForwardAttempt current, ServerResponse response, ByteBuf bytes) {
-    if (!isRelayedStream(current, response)) {
+    if (!response.isRelayedAsStream(request, current)) {
       if (!response.append(bytes)) {
         onResponseLost(current, new InvalidServerResponse("the body exceeds the buffer limits"));
       }
       return;
     }
     if (writer.writeEvents(response.head(), bytes)) {
-      recordExecutionStarted(current);
+      recorder.recordExecutionStarted(current);
     }
     if (writer.isOutOfSequence()) {
       onResponseLost(current, new InvalidServerResponse("the stream was not continued"));
@@ -289,29 +259,6 @@
     }
   }
 
-  private boolean isRelayedStream(ForwardAttempt current, ServerResponse response) {
-    return request.route().kind().isStream()
-        && !current.prefillOnly()
-        && response.isEventStream()
-        && !response.isUnsealedSuccess();
-  }
-
-  /** Records the first evidence that a server runs the request; later calls have no effect. */
-  private void recordExecutionStarted(ForwardAttempt current) {
-    crashGuard.reportBegun();
-    if (accounting.recordStarted(DualTimestamp.now())) {
-      log.addFirstEvent(current);
-      current.recordPrefilled();
-      current.recordFirstToken(context.engineRates(request.service()));
-      current.load().recordResponse(current.elapsedMs());
-      recordCachedPrompt(current);
-    }
-  }
-
-  private void recordCachedPrompt(ForwardAttempt current) {
-    request.prompt().ifPresent(prompt -> context.recordCachedPrompt(current.load(), prompt));
-  }
-
   private void onResponseComplete(ForwardAttempt current, ServerResponse response) {
     if (response.isRejection()) {
       onRejected(current, response);
@@ -319,7 +266,7 @@
       onResponseLost(current, new InvalidServerResponse("the success is not sealed"));
     } else if (current.prefillOnly()) {
       onPrefilled(current, response);
-    } else if (isRelayedStream(current, response)) {
+    } else if (response.isRelayedAsStream(request, current)) {
       onStreamEnd(current, response);
     } else {
       onFullResponse(current, response);
@@ -333,9 +280,7 @@
       onPrefillFailed(current, "status " + response.status());
       return;
     }
-    current.recordFirstToken(context.engineRates(request.service()));
-    current.load().recordResponse(current.elapsedMs());
-    recordCachedPrompt(current);
+    recorder.recordPrefilled(current);
     kvCache.retain(new KvSource(current.load().server(), handle.orElseThrow()));
     tryNextServer();
   }
@@ -363,7 +308,7 @@
     }
     current.end();
     current.load().recordResponse(current.elapsedMs());
-    recordExecutionStarted(current);
+    recorder.recordExecutionStarted(current);
     current.recordRun(context.engineRates(request.service()));
     writer.endStream(response.head());
     finishWithResponse(response);
@@ -377,10 +322,9 @@
     if (response.isServerError()) {
       current.load().recordFailure(DualTimestamp.monotonicNowMs());
     } else {
-      current.load().recordResponse(current.elapsedMs());
-      recordCachedPrompt(current);
+      recorder.recordResponse(current);
     }
-    accounting.recordStarted(current.startedAt());
+    recorder.recordCounted(current);
     if (writer.started()) {
       abortResponse("a server answered with status " + response.status() + " instead of going on");
       return;
@@ -451,7 +395,7 @@
     }
     outcomeUnknown = true;
     // In most cases of a lost response the server has run the request, so it is counted.
-    accounting.recordStarted(current.startedAt());
+    recorder.recordCounted(current);
     kvCache.clear();
     writer.discardPartialEvent();
     if (writer.started()) {
@@ -539,17 +483,13 @@
 
   private void finish() {
     finished = true;
-    context.heldRequests().remove(request.service(), resumeAction);
-    freeUnusedKvCache();
-    responses.release();
-    writer.release();
-    request.httpRequest().release();
-  }
-
-  private void freeUnusedKvCache() {
+    hold.end();
     boolean sentForDecoding = attempt.filter(a -> a.isSent() && !a.prefillOnly()).isPresent();
     if (!sentForDecoding) {
       kvCache.free();
     }
+    responses.release();
+    writer.release();
+    request.httpRequest().release();
   }
 }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServerNoticeRecorder.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServerNoticeRecorder.java
@@ -94,6 +94,11 @@
     }
   }
 
+  /** Returns whether a server that was chosen before wants no request any more. */
+  boolean isClosed(ServerLoad load) {
+    return notices().isClosed(load.server(), DualTimestamp.monotonicNowMs());
+  }
+
   private ServerNotices notices() {
     return context.serverLoads().notices();
   }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServerResponse.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServerResponse.java
@@ -120,6 +120,14 @@
             .startsWith(EVENT_STREAM);
   }
 
+  /** Returns whether the events of this response are relayed to the caller as they arrive. */
+  boolean isRelayedAsStream(RoutedRequest request, ForwardAttempt attempt) {
+    return request.route().kind().isStream()
+        && !attempt.prefillOnly()
+        && isEventStream()
+        && !isUnsealedSuccess();
+  }
+
   /** Returns the received bytes that were not relayed as events. */
   ByteBuf body() {
     return body;
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServersPaused.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServersPaused.java
@@ -8,6 +8,11 @@
  * @param untilMs monotonic time in milliseconds at which the first of them may be used again
  */
 record ServersPaused(long untilMs) implements Failure {
+  /** Returns the time until then, in milliseconds, at least 1. */
+  long waitMs(long nowMs) {
+    return Math.max(1, untilMs - nowMs);
+  }
+
   @Override
   public String type() {
     return "servers_paused";
