Remove repetitions from the code for servers that leave or wait

- The number of requests that are resumed after a response is the number that the response allows, no longer a second constant.
- ServerNotices builds no incarnation name per server and choice while no server has asked for a wait, and ServerLoadTable none while the request has tried no server.
A server that leaves is remembered for good, so that these filters run for each later choice.
- The end of a request whose response was lost, the notification of all connections, and the question whether a server is closed each stand once.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerNotices.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerNotices.java
@@ -22,7 +22,7 @@
   static final long TRIAL_PERIOD_MS = 250;
 
   /** Requests that each response allows after a wait. */
-  private static final int PERMITS_PER_RESPONSE = 2;
+  public static final int PERMITS_PER_RESPONSE = 2;
 
   /** Responses after which a server receives requests without limit again. */
   private static final int RESPONSES_UNTIL_OPEN = 8;
@@ -186,6 +186,9 @@
   }
 
   private Optional<Pause> pauseOf(BackendServer server) {
-    return Optional.ofNullable(pauses.get(server.incarnation()));
+    // Asked for each server of each choice, and mostly none has asked for a wait.
+    return pauses.isEmpty()
+        ? Optional.empty()
+        : Optional.ofNullable(pauses.get(server.incarnation()));
   }
 }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ProxyExchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ProxyExchange.java
@@ -181,12 +181,12 @@
 
   /** Returns whether what became known while the connection was opened allows the send. */
   private boolean isAllowed(ForwardAttempt current) {
-    if (!context.serverNotices().isClosed(current.load())) {
+    if (!context.serverNotices().isClosed(current.load().server())) {
       return crashGuard.refusal().map(this::refuse).isEmpty();
     }
     current.end();
     if (continued) {
-      fail(ErrorResponse.outcomeUnknown("answer_lost", "The server's answer was lost."));
+      failAsLost();
     } else {
       tryNextServer();
     }
@@ -204,7 +204,7 @@
     log.add(
         "not_connected", "backend=%s cause=%s".formatted(current.incarnation(), failure.type()));
     if (continued) {
-      fail(ErrorResponse.outcomeUnknown("answer_lost", "The server's answer was lost."));
+      failAsLost();
     } else if (connectFailures < MAX_CONNECT_FAILURES) {
       tryNextServer();
     } else {
@@ -420,7 +420,7 @@
     if (request.route().kind().isRetryable() && mayResend && tryAcquireRetry()) {
       tryNextServer();
     } else if (!continueFromBackup(lost)) {
-      fail(ErrorResponse.outcomeUnknown("answer_lost", "The server's answer was lost."));
+      failAsLost();
     }
   }
 
@@ -451,6 +451,11 @@
     }
   }
 
+  /** Ends the request, which may have run, because the response of its server was lost. */
+  private void failAsLost() {
+    fail(ErrorResponse.outcomeUnknown("answer_lost", "The server's answer was lost."));
+  }
+
   /** Ends the request with an error, or with the failure response of an earlier attempt. */
   private void fail(ErrorResponse error) {
     boolean inProgress =
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RetainedKvCache.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RetainedKvCache.java
@@ -1,7 +1,6 @@
 package io.samphiregauge.gateway.traffic;
 
 import io.netty.handler.codec.http.HttpMethod;
-import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.gateway.port.KvSource;
 import io.samphiregauge.net.PooledHttpClient;
 import java.util.Optional;
@@ -39,9 +38,8 @@
     Optional<KvSource> unused = source;
     source = Optional.empty();
     // A server that wants a pause frees the memory itself when the handle expires.
-    long nowMs = DualTimestamp.monotonicNowMs();
     unused
-        .filter(kvSource -> !context.serverLoads().notices().isClosed(kvSource.server(), nowMs))
+        .filter(kvSource -> !context.serverNotices().isClosed(kvSource.server()))
         .ifPresent(
             kvSource ->
                 context
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServerLoadTable.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServerLoadTable.java
@@ -102,11 +102,15 @@
       return all;
     }
     return all.stream()
-        .filter(load -> !triedIncarnations.contains(load.server().incarnation()))
+        .filter(load -> !isTried(load.server(), triedIncarnations))
         .filter(load -> notices.mayContact(load.server(), nowMs))
         .toList();
   }
 
+  private static boolean isTried(BackendServer server, Set<String> triedIncarnations) {
+    return !triedIncarnations.isEmpty() && triedIncarnations.contains(server.incarnation());
+  }
+
   /**
    * Returns whether a request may use a certain server.
    *
@@ -128,7 +132,7 @@
   OptionalLong pauseEndsAtMs(String service, Set<String> triedIncarnations, long nowMs) {
     return byService.getOrDefault(service, List.of()).stream()
         .map(ServerLoad::server)
-        .filter(server -> !triedIncarnations.contains(server.incarnation()))
+        .filter(server -> !isTried(server, triedIncarnations))
         .filter(server -> !notices.mayContact(server, nowMs))
         .flatMapToLong(server -> notices.contactableAtMs(server, nowMs).stream())
         .min();
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServerNoticeRecorder.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServerNoticeRecorder.java
@@ -15,9 +15,6 @@
 final class ServerNoticeRecorder {
   private static final Logger LOG = System.getLogger(ServerNoticeRecorder.class.getName());
 
-  /** Requests that are resumed when a server shows room; it allows as many after each response. */
-  private static final int RESUMED_PER_RESPONSE = 2;
-
   private final EventLoopContext context;
 
   ServerNoticeRecorder(EventLoopContext context) {
@@ -83,7 +80,7 @@
         !response.isRejection()
             && notices().recordResponse(server, attempt.startedAt().monotonicMs());
     if (room) {
-      context.heldRequests().resume(server.service(), RESUMED_PER_RESPONSE);
+      context.heldRequests().resume(server.service(), ServerNotices.PERMITS_PER_RESPONSE);
     }
   }
 
@@ -95,8 +92,8 @@
   }
 
   /** Returns whether a server that was chosen before wants no request any more. */
-  boolean isClosed(ServerLoad load) {
-    return notices().isClosed(load.server(), DualTimestamp.monotonicNowMs());
+  boolean isClosed(BackendServer server) {
+    return notices().isClosed(server, DualTimestamp.monotonicNowMs());
   }
 
   private ServerNotices notices() {
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/HttpServer.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/HttpServer.java
@@ -191,15 +191,17 @@
   }
 
   private void closeConnections(CompletableFuture<Void> finished) {
-    connections.forEach(
-        connection ->
-            connection.pipeline().fireUserEventTriggered(RequestSequencer.CLOSE_WHEN_IDLE));
+    notifyConnections(RequestSequencer.CLOSE_WHEN_IDLE);
     connections.newCloseFuture().addListener(closed -> finished.complete(null));
   }
 
   /** Sends {@link #RESPOND_NOW} to the handler of each open connection. */
   public void endPendingRequests() {
-    connections.forEach(connection -> connection.pipeline().fireUserEventTriggered(RESPOND_NOW));
+    notifyConnections(RESPOND_NOW);
+  }
+
+  private void notifyConnections(Object event) {
+    connections.forEach(connection -> connection.pipeline().fireUserEventTriggered(event));
   }
 
   /** Stops accepting connections; open connections stay open. */
