Reserve memory for request bodies before they are read

Change: BodyMemory reserves the bodies of one event loop, half of the process's memory in all. A response that begins before the end of the body closes its connection.

--- a/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/traffic/TrafficServer.java
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/traffic/TrafficServer.java
@@ -178,6 +178,7 @@
         settings.getMaxBodyBytes().orElse(defaults.maxBodyBytes()),
         settings.getHeadTimeoutMs().orElse(defaults.headTimeoutMs()),
         settings.getBodyTimeoutMs().orElse(defaults.bodyTimeoutMs()),
-        defaults.idleTimeoutMs());
+        defaults.idleTimeoutMs(),
+        defaults.bodyMemoryBytes());
   }
 }
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/HttpLimits.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/HttpLimits.java
@@ -9,9 +9,16 @@
  *     head from the opening of the connection
  * @param bodyTimeoutMs time to receive a whole body, counted from the end of the head
  * @param idleTimeoutMs longest time between two requests before the connection is closed
+ * @param bodyMemoryBytes memory for the bodies of all requests that are received or handled at the
+ *     same time
  */
 public record HttpLimits(
-    int maxHeaderBytes, int maxBodyBytes, int headTimeoutMs, int bodyTimeoutMs, int idleTimeoutMs) {
+    int maxHeaderBytes,
+    int maxBodyBytes,
+    int headTimeoutMs,
+    int bodyTimeoutMs,
+    int idleTimeoutMs,
+    long bodyMemoryBytes) {
   private static final int DEFAULT_HEADER_BYTES = 16 * 1024;
   private static final int DEFAULT_BODY_BYTES = 8 * 1024 * 1024;
   private static final int DEFAULT_HEAD_TIMEOUT_MS = 10_000;
@@ -21,7 +28,8 @@
   /**
    * Returns the limits that apply if the settings define none.
    *
-   * @return 16 KiB head, 8 MiB body; 10 s for the head, 30 s for the body, 60 s idle
+   * @return 16 KiB head, 8 MiB body; 10 s for the head, 30 s for the body, 60 s idle; half of the
+   *     memory of the process for bodies
    */
   public static HttpLimits defaults() {
     return new HttpLimits(
@@ -29,6 +37,17 @@
         DEFAULT_BODY_BYTES,
         DEFAULT_HEAD_TIMEOUT_MS,
         DEFAULT_BODY_TIMEOUT_MS,
-        DEFAULT_IDLE_TIMEOUT_MS);
+        DEFAULT_IDLE_TIMEOUT_MS,
+        defaultBodyMemoryBytes());
+  }
+
+  /**
+   * Returns the memory for bodies that the size of the process allows.
+   *
+   * @return half of the direct memory, which by default is as large as the heap; the other half is
+   *     left to responses and to the buffers of the sockets
+   */
+  public static long defaultBodyMemoryBytes() {
+    return Runtime.getRuntime().maxMemory() / 2;
   }
 }
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/HttpServer.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/HttpServer.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.util.AttributeKey;
+import io.netty.util.concurrent.EventExecutor;
 import io.samphiregauge.core.Clock;
 import io.samphiregauge.core.result.Result;
 import java.net.InetSocketAddress;
@@ -131,6 +132,8 @@
       Clock clock,
       Function<Channel, ChannelHandler> handler) {
     Map<EventLoop, EventLoopLag> lags = new ConcurrentHashMap<>();
+    Map<EventLoop, BodyMemory> bodyMemories = new ConcurrentHashMap<>();
+    long loopMemoryBytes = limits.bodyMemoryBytes() / countLoops(loops);
     return bind(
         loops,
         address,
@@ -141,20 +144,32 @@
                 clock,
                 lags.computeIfAbsent(
                     pipeline.channel().eventLoop(), loop -> EventLoopLag.start(loop, clock)),
+                bodyMemories.computeIfAbsent(
+                    pipeline.channel().eventLoop(), loop -> new BodyMemory(loopMemoryBytes)),
                 handler.apply(pipeline.channel())));
   }
 
+  private static long countLoops(EventLoopGroup loops) {
+    long count = 0;
+    for (EventExecutor loop : loops) {
+      count += loop.isShutdown() ? 0 : 1;
+    }
+    return Math.max(1, count);
+  }
+
   static void addRequestHandlers(
       ChannelPipeline pipeline,
       HttpLimits limits,
       Clock clock,
       EventLoopLag lag,
+      BodyMemory bodyMemory,
       ChannelHandler handler) {
     RequestSequencer sequencer = new RequestSequencer(limits, clock);
     pipeline
         .addLast(sequencer.arrivalHandler())
         .addLast(strictCodec(limits))
         .addLast(sequencer)
+        .addLast(new BodyMemoryGate(bodyMemory, limits.maxBodyBytes()))
         .addLast(new BodyLimit(limits.maxBodyBytes()))
         .addLast(new ArrivalRecorder(lag, clock))
         .addLast(new ClosedCallerFilter())
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/RequestSequencer.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/RequestSequencer.java
@@ -139,6 +139,8 @@
         ctx.write(part, promise);
         return;
       }
+      // The bytes of a body that was not awaited must not be taken for the next request.
+      failed = failed || state == State.BODY;
       bodyAllowed = mayHaveBody(head);
       setFraming(head);
     }
--- a/samphiregauge-net/src/test/java/io/samphiregauge/net/RequestSequencerTest.java
+++ b/samphiregauge-net/src/test/java/io/samphiregauge/net/RequestSequencerTest.java
@@ -32,7 +32,8 @@
 
 /** Guards against callers that send slowly, exceed the size limits, or do not send valid HTTP. */
 class RequestSequencerTest {
-  private static final HttpLimits LIMITS = new HttpLimits(1_024, 4_096, 10_000, 30_000, 60_000);
+  private static final HttpLimits LIMITS =
+      new HttpLimits(1_024, 4_096, 10_000, 30_000, 60_000, 1_000_000);
   private static final Pattern STATUS = Pattern.compile("HTTP/1\\.1 (\\d{3}) ");
 
   private final List<String> handled = new ArrayList<>();
@@ -250,6 +251,7 @@
         LIMITS,
         () -> nowMs,
         new EventLoopLag(() -> nowMs),
+        new BodyMemory(LIMITS.bodyMemoryBytes()),
         new RecordingHandler(respond));
     return embedded;
   }
