--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/site/SiteConfig.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/site/SiteConfig.java
@@ -19,6 +19,7 @@
   private final Map<String, List<SiteRoute>> routesByHost;
   private final Map<String, ServiceSpec> services;
   private final Optional<Map<String, Team>> teamsByKey;
+  private final Optional<RequestLimits> requestLimits;
 
   /**
    * Creates a configuration.
@@ -27,18 +28,21 @@
    * @param routes all routes
    * @param services all services
    * @param teamsByKey team of each key, or empty if no request needs a key
+   * @param requestLimits sizes up to which requests are accepted, or empty for the defaults
    */
   public SiteConfig(
       long version,
       List<SiteRoute> routes,
       List<ServiceSpec> services,
-      Optional<Map<String, Team>> teamsByKey) {
+      Optional<Map<String, Team>> teamsByKey,
+      Optional<RequestLimits> requestLimits) {
     this.version = version;
     this.routesByHost = groupByHost(routes);
     Map<String, ServiceSpec> servicesByName = new HashMap<>();
     services.forEach(service -> servicesByName.put(service.name(), service));
     this.services = Map.copyOf(servicesByName);
     this.teamsByKey = teamsByKey.map(Map::copyOf);
+    this.requestLimits = requestLimits;
   }
 
   private static Map<String, List<SiteRoute>> groupByHost(List<SiteRoute> routes) {
@@ -78,6 +82,11 @@
     return Optional.ofNullable(services.get(service)).flatMap(ServiceSpec::engine);
   }
 
+  /** Returns the sizes up to which requests are accepted, or empty if the defaults apply. */
+  public Optional<RequestLimits> requestLimits() {
+    return requestLimits;
+  }
+
   /** Returns whether requests need a key on routes without public access. */
   public boolean requiresKeys() {
     return teamsByKey.isPresent();
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/site/SiteConfigTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/site/SiteConfigTest.java
@@ -25,7 +25,11 @@
 
   private static SiteConfig config(SiteRoute... routes) {
     return new SiteConfig(
-        1, List.of(routes), List.of(), Optional.of(Map.of("k", new Team("t", 0))));
+        1,
+        List.of(routes),
+        List.of(),
+        Optional.of(Map.of("k", new Team("t", 0))),
+        Optional.empty());
   }
 
   private static Optional<String> routeName(SiteConfig config, String host, String path) {
--- a/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/traffic/TrafficServer.java
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/traffic/TrafficServer.java
@@ -68,7 +68,7 @@
         HttpServer.start(
                 loops,
                 address,
-                httpLimits(context.settings()),
+                () -> httpLimits(context.settings()),
                 context.clock(),
                 channel -> new CallerHandler(dispatchers.get(channel.eventLoop()), sharedState))
             .map(server -> new TrafficServer(context, loops, sharedState, decisionLog, server));
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/PageServer.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/PageServer.java
@@ -45,7 +45,7 @@
   public static Result<HttpServer> start(
       EventLoopGroup loops, Address address, Function<String, Page> handler) {
     return HttpServer.start(
-        loops, address, HttpLimits.defaults(), CLOCK, channel -> new PageHandler(handler));
+        loops, address, HttpLimits::defaults, CLOCK, channel -> new PageHandler(handler));
   }
 
   private static final class PageHandler extends SimpleChannelInboundHandler<Object> {
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/CallerHandler.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/CallerHandler.java
@@ -62,8 +62,8 @@
           .decisionLog()
           .add("bad_request", "-", "status=" + error.status() + " type=" + error.type());
       GatewayResponses.sendError(
-          ctx, new ErrorResponse(
-              error.status(), error.type(), error.message(), error.retryAfterMs()));
+          ctx,
+          new ErrorResponse(error.status(), error.type(), error.message(), error.retryAfterMs()));
     } else {
       ReferenceCountUtil.release(message);
     }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/TrafficSide.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/TrafficSide.java
@@ -7,6 +7,7 @@
 import io.samphiregauge.core.RandomSource;
 import io.samphiregauge.core.admit.ShutdownWindow;
 import io.samphiregauge.core.result.Result;
+import io.samphiregauge.core.site.SiteConfig;
 import io.samphiregauge.gateway.GatewayView;
 import io.samphiregauge.gateway.GroupMember;
 import io.samphiregauge.gateway.port.Dialect;
@@ -106,11 +107,20 @@
     return HttpServer.start(
         eventLoop,
         EventLoopContext.parseAddress(self.callerAddress()),
-        HttpLimits.defaults(),
+        () -> limits(loopContext.view()),
         CLOCK,
         channel -> new CallerHandler(loopContext, shutdown));
   }
 
+  /** Returns the limits of the configuration; the times are those of the defaults. */
+  private static HttpLimits limits(GatewayView view) {
+    HttpLimits defaults = HttpLimits.defaults();
+    return view.config()
+        .flatMap(SiteConfig::requestLimits)
+        .map(limits -> defaults.withSizes(limits.maxHeaderBytes(), limits.maxBodyBytes()))
+        .orElse(defaults);
+  }
+
   private static Result<PeerTransport> startPeerTransport(
       EventLoopGroup loops,
       GroupMember self,
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/HttpLimits.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/HttpLimits.java
@@ -41,6 +41,18 @@
         defaultBodyMemoryBytes());
   }
 
+  /**
+   * Returns these limits with other sizes.
+   *
+   * @param headerBytes largest request head, in bytes
+   * @param bodyBytes largest request body, in bytes
+   * @return the limits
+   */
+  public HttpLimits withSizes(int headerBytes, int bodyBytes) {
+    return new HttpLimits(
+        headerBytes, bodyBytes, headTimeoutMs, bodyTimeoutMs, idleTimeoutMs, bodyMemoryBytes);
+  }
+
   /**
    * Returns the memory for bodies that the size of the process allows.
    *
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/HttpServer.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/HttpServer.java
@@ -119,7 +119,8 @@
    *
    * @param loops event loops of the connections; the server does not shut them down
    * @param address address to bind; port 0 selects a free port
-   * @param limits size and time limits of a request
+   * @param currentLimits provides the size and time limits of the requests; read once for each
+   *     connection
    * @param clock clock for the time limits
    * @param handler creates the handler of a connection, on its event loop; the handler receives
    *     each {@code FullHttpRequest} or {@link RequestError} and writes one response to it
@@ -128,19 +129,19 @@
   public static Result<HttpServer> start(
       EventLoopGroup loops,
       Address address,
-      HttpLimits limits,
+      Supplier<HttpLimits> currentLimits,
       Clock clock,
       Function<Channel, ChannelHandler> handler) {
     Map<EventLoop, EventLoopLag> lags = new ConcurrentHashMap<>();
     Map<EventLoop, BodyMemory> bodyMemories = new ConcurrentHashMap<>();
-    long loopMemoryBytes = limits.bodyMemoryBytes() / countLoops(loops);
+    long loopMemoryBytes = currentLimits.get().bodyMemoryBytes() / countLoops(loops);
     return bind(
         loops,
         address,
         pipeline ->
             addRequestHandlers(
                 pipeline,
-                limits,
+                currentLimits.get(),
                 clock,
                 lags.computeIfAbsent(
                     pipeline.channel().eventLoop(), loop -> EventLoopLag.start(loop, clock)),
@@ -179,7 +180,7 @@
   private static StrictServerCodec strictCodec(HttpLimits limits) {
     return new StrictServerCodec(
         new HttpDecoderConfig()
-            .setMaxInitialLineLength(MAX_LINE_BYTES)
+            .setMaxInitialLineLength(limits.maxHeaderBytes())
             .setMaxHeaderSize(limits.maxHeaderBytes())
             .setMaxChunkSize(MAX_CHUNK_BYTES));
   }
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/StrictServerCodec.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/StrictServerCodec.java
@@ -3,12 +3,13 @@
 import io.netty.channel.CombinedChannelDuplexHandler;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 
 /**
- * Decodes requests, and rejects those with ambiguous framing: two servers could disagree about
- * where such a request ends, which allows request smuggling.
+ * Decodes requests, and rejects those with ambiguous framing, host or path: two servers could
+ * disagree about where such a request ends, which allows request smuggling, or what it asks for.
  */
 final class StrictServerCodec
     extends CombinedChannelDuplexHandler<HttpRequestDecoder, HttpResponseEncoder> {
@@ -26,6 +27,7 @@
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage head) {
       TransferFraming.check(head);
+      RequestHeads.check((HttpRequest) head);
       return super.isContentAlwaysEmpty(head);
     }
   }
--- a/samphiregauge-net/src/test/java/io/samphiregauge/net/ClosedCallerTest.java
+++ b/samphiregauge-net/src/test/java/io/samphiregauge/net/ClosedCallerTest.java
@@ -47,7 +47,7 @@
         HttpServer.start(
                 loops,
                 Address.parse("127.0.0.1:0").value().orElseThrow(),
-                HttpLimits.defaults(),
+                HttpLimits::defaults,
                 () -> 0,
                 channel -> new RecordingHandler())
             .value()
--- a/samphiregauge-net/src/test/java/io/samphiregauge/net/RequestSequencerTest.java
+++ b/samphiregauge-net/src/test/java/io/samphiregauge/net/RequestSequencerTest.java
@@ -52,7 +52,7 @@
 
   @Test
   void rejectsSlowBodyAfterTimeoutDespiteProgress() {
-    send("POST / HTTP/1.1\r\nContent-Length: 1000\r\n\r\n");
+    send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n");
     for (int i = 0; i < 30; i++) {
       send("x");
       advanceTime(1_000);
@@ -64,7 +64,7 @@
   @Test
   void hasNoTimeoutWhileResponseIsPending() {
     channel = open(false);
-    send("GET / HTTP/1.1\r\n\r\nGET /ahead HTTP/1.1\r\nHo");
+    send("GET / HTTP/1.1\r\nHost: h\r\n\r\nGET /ahead HTTP/1.1\r\nHo");
     advanceTime(600_000);
     assertThat(handled).containsExactly("/");
     assertThat(channel.isOpen()).isTrue();
@@ -72,7 +72,7 @@
 
   @Test
   void closesIdleConnectionAfterTimeout() {
-    send("GET / HTTP/1.1\r\n\r\n");
+    send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
     advanceTime(59_999);
     assertThat(channel.isOpen()).isTrue();
     advanceTime(2);
@@ -81,13 +81,15 @@
 
   @Test
   void rejectsOversizedHeadOrBody() {
-    send("GET / HTTP/1.1\r\nX: " + "x".repeat(2_000) + "\r\n\r\n");
+    send("GET / HTTP/1.1\r\nHost: h\r\nX: " + "x".repeat(2_000) + "\r\n\r\n");
     channel = open(true);
-    send("POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n");
+    send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n");
     channel = open(true);
-    send("POST / HTTP/1.1\r\nContent-Length: 5000\r\nExpect: 100-continue\r\n\r\n");
+    send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\nExpect: 100-continue\r\n\r\n");
     channel = open(true);
-    send("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1388\r\n" + "x".repeat(5_000));
+    send(
+        "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1388\r\n"
+            + "x".repeat(5_000));
     assertThat(handled)
         .containsExactly(
             "431 head_too_large", "413 body_too_large", "413 body_too_large", "413 body_too_large");
@@ -132,7 +134,7 @@
   /** Guards against rejecting the one supported coding because of its case. */
   @Test
   void acceptsChunkedInAnyCase() {
-    send("POST /1 HTTP/1.1\r\ntransfer-encoding: Chunked \r\n\r\n1\r\nx\r\n0\r\n\r\n");
+    send("POST /1 HTTP/1.1\r\nHost: h\r\ntransfer-encoding: Chunked \r\n\r\n1\r\nx\r\n0\r\n\r\n");
     assertThat(handled).containsExactly("/1");
   }
 
@@ -144,7 +146,7 @@
   @CsvSource({"HEAD,503", "HEAD,200", "HEAD,404", "GET,204", "GET,304"})
   void responseWithoutBodyIsFollowedByTheNextResponse(String method, int status) {
     channel = open(false);
-    send(method + " /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+    send(method + " /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
     var refused =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1,
@@ -165,7 +167,7 @@
   @Test
   void headResponseInPartsHasNoBody() {
     channel = open(false);
-    send("HEAD /1 HTTP/1.1\r\n\r\n");
+    send("HEAD /1 HTTP/1.1\r\nHost: h\r\n\r\n");
     channel.writeOutbound(
         new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK),
         new DefaultHttpContent(Unpooled.copiedBuffer("data", StandardCharsets.UTF_8)),
@@ -186,7 +188,7 @@
   @Test
   void queuesPipelinedRequestsAndStopsReading() {
     channel = open(false);
-    send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+    send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
     assertThat(handled).containsExactly("/1");
     assertThat(channel.config().isAutoRead()).isFalse();
     channel.writeOutbound(ok());
