--- a/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/traffic/TrafficServer.java
+++ b/samphiregauge-daemon/src/main/java/io/samphiregauge/daemon/traffic/TrafficServer.java
@@ -68,7 +68,7 @@
         HttpServer.start(
                 loops,
                 address,
-                httpLimits(context.settings()),
+                () -> httpLimits(context.settings()),
                 context.clock(),
                 channel -> new CallerHandler(dispatchers.get(channel.eventLoop()), sharedState))
             .map(server -> new TrafficServer(context, loops, sharedState, decisionLog, server));
@@ -178,6 +178,7 @@
         settings.getMaxBodyBytes().orElse(defaults.maxBodyBytes()),
         settings.getHeadTimeoutMs().orElse(defaults.headTimeoutMs()),
         settings.getBodyTimeoutMs().orElse(defaults.bodyTimeoutMs()),
-        defaults.idleTimeoutMs());
+        defaults.idleTimeoutMs(),
+        defaults.bodyMemoryBytes());
   }
 }
