Lend the quotas of teams from one entry for each team

Nothing kept the limits of teams over all entries. The entry that is first by rendezvous hashing lends the credit of a team; the others spend what they have borrowed. Not measured yet.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/site/SiteConfig.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/site/SiteConfig.java
@@ -19,6 +19,7 @@
   private final Map<String, List<SiteRoute>> routesByHost;
   private final Map<String, ServiceSpec> services;
   private final Optional<Map<String, Team>> teamsByKey;
+  private final Map<String, TeamQuota> quotas;
 
   /**
    * Creates a configuration.
@@ -39,6 +40,12 @@
     services.forEach(service -> servicesByName.put(service.name(), service));
     this.services = Map.copyOf(servicesByName);
     this.teamsByKey = teamsByKey.map(Map::copyOf);
+    Map<String, TeamQuota> quotasByTeam = new HashMap<>();
+    teamsByKey
+        .map(Map::values)
+        .orElse(List.of())
+        .forEach(team -> team.quota().ifPresent(quota -> quotasByTeam.put(team.name(), quota)));
+    this.quotas = Map.copyOf(quotasByTeam);
   }
 
   private static Map<String, List<SiteRoute>> groupByHost(List<SiteRoute> routes) {
@@ -102,6 +109,11 @@
     return Optional.empty();
   }
 
+  /** Returns the quotas of the teams that have one and a key, by the name of the team. */
+  public Map<String, TeamQuota> quotas() {
+    return quotas;
+  }
+
   /**
    * Finds the team that a key belongs to.
    *
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/GatewayView.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/GatewayView.java
@@ -2,6 +2,7 @@
 
 import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.backend.BackendServer;
+import io.samphiregauge.core.quota.MembershipLease;
 import io.samphiregauge.core.site.SiteConfig;
 import io.samphiregauge.core.suspect.CrashSuspects;
 import java.util.List;
@@ -15,6 +16,7 @@
  * @param servers backend servers that may receive requests
  * @param serversVersion incremented by each change of the servers
  * @param members entries that serve callers, including this one unless it is stopping
+ * @param lease how long this entry may rely on the list of members
  * @param crashSuspects traits of requests that crash backend servers
  */
 public record GatewayView(
@@ -23,11 +25,18 @@
     List<BackendServer> servers,
     long serversVersion,
     List<GroupMember> members,
+    MembershipLease lease,
     CrashSuspects crashSuspects) {
 
   /** Returns the view before the first read of the store. */
   public static GatewayView empty() {
     return new GatewayView(
-        Optional.empty(), DualTimestamp.NEVER, List.of(), 0, List.of(), CrashSuspects.none());
+        Optional.empty(),
+        DualTimestamp.NEVER,
+        List.of(),
+        0,
+        List.of(),
+        MembershipLease.NONE,
+        CrashSuspects.none());
   }
 }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
@@ -249,6 +249,7 @@
             backendFollower.servers(),
             backendFollower.serversVersion(),
             groupFollower.members(),
+            groupFollower.lease(),
             crashExchange.suspects()));
   }
 }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GroupFollower.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GroupFollower.java
@@ -1,6 +1,7 @@
 package io.samphiregauge.gateway.control;
 
 import io.samphiregauge.core.DualTimestamp;
+import io.samphiregauge.core.quota.MembershipLease;
 import io.samphiregauge.gateway.GroupMember;
 import io.samphiregauge.gateway.port.SharedStore;
 import java.lang.System.Logger;
@@ -28,6 +29,12 @@
    */
   private static final long REJOIN_GRACE_MS = 2_500;
 
+  /**
+   * Time from the send of a join for which the store certainly keeps the member, less what a call
+   * and the difference of two clocks take.
+   */
+  static final long LEASE_MS = SharedStore.MEMBER_TTL_MS - 200;
+
   private final ControlThread control;
   private final SharedStore store;
   private final GroupMember self;
@@ -37,6 +44,10 @@
   private boolean membersStale = true;
   private boolean stopped;
   private DualTimestamp lastJoinFailure = DualTimestamp.NEVER;
+  private DualTimestamp lastJoinSent = DualTimestamp.NEVER;
+  private DualTimestamp memberSince = DualTimestamp.NEVER;
+  private boolean successor;
+  private DualTimestamp listConfirmedAt = DualTimestamp.NEVER;
 
   GroupFollower(ControlThread control, SharedStore store, GroupMember self, Runnable onChange) {
     this.control = control;
@@ -64,6 +75,11 @@
     return members;
   }
 
+  /** Returns how long this entry may rely on the list of members. */
+  MembershipLease lease() {
+    return new MembershipLease(listConfirmedAt, memberSince, successor, LEASE_MS);
+  }
+
   /** Returns the index of this entry among all members, which staggers claims of the lease. */
   int rank() {
     return Math.max(0, members.indexOf(self));
@@ -74,6 +90,7 @@
       return;
     }
     control.schedule(JOIN_PERIOD_MS, this::join);
+    DualTimestamp sentAt = DualTimestamp.now();
     control.onResult(
         store.groupJoiner().join(self.encode(), generation),
         result -> {
@@ -82,16 +99,33 @@
             membersStale = true;
             return;
           }
+          recordJoined(sentAt);
           long joinedGeneration = result.value().orElseThrow();
           membersStale = membersStale || joinedGeneration != generation;
           generation = joinedGeneration;
           if (membersStale && !stopped) {
-            readMembers();
+            readMembers(sentAt);
+          } else {
+            confirmList(sentAt);
           }
         });
   }
 
-  private void readMembers() {
+  /** Starts the membership anew if the store may have dropped this entry since the last join. */
+  private void recordJoined(DualTimestamp sentAt) {
+    if (DualTimestamp.now().millisSince(lastJoinSent) >= LEASE_MS) {
+      memberSince = sentAt;
+      successor = false;
+    }
+    lastJoinSent = sentAt;
+  }
+
+  private void confirmList(DualTimestamp joinSentAt) {
+    listConfirmedAt = joinSentAt;
+    onChange.run();
+  }
+
+  private void readMembers(DualTimestamp joinSentAt) {
     control.onResult(
         store.memberReader().read(),
         result ->
@@ -101,6 +135,7 @@
                     texts -> {
                       membersStale = false;
                       onMembersRead(texts);
+                      confirmList(joinSentAt);
                     }));
   }
 
@@ -113,6 +148,10 @@
     if (!next.contains(self)) {
       next.add(self);
     }
+    if (next.stream().anyMatch(this::isPredecessor)) {
+      // No other entry has taken over from the earlier process, which is not running any more.
+      successor = true;
+    }
     if (DualTimestamp.now().millisSince(lastJoinFailure) < REJOIN_GRACE_MS) {
       members.stream().filter(member -> !next.contains(member)).forEach(next::add);
       membersStale = true;
@@ -125,6 +164,11 @@
     }
   }
 
+  /** Returns whether a member is an earlier process of this VM that had been a member for long. */
+  private boolean isPredecessor(GroupMember member) {
+    return member.vm().equals(self.vm()) && member.startMs() < self.startMs() - 2 * LEASE_MS;
+  }
+
   private static List<String> vms(List<GroupMember> members) {
     return members.stream().map(GroupMember::vm).toList();
   }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/port/SharedStore.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/port/SharedStore.java
@@ -23,6 +23,8 @@
     GroupJoiner groupJoiner,
     GroupLeaver groupLeaver,
     MemberReader memberReader) {
+  /** Time for which a join is valid: three join intervals, so that one may fail. */
+  public static final long MEMBER_TTL_MS = 3_000;
 
   /** Reads the newest record of each key. */
   @FunctionalInterface
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/CallerHandler.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/CallerHandler.java
@@ -11,6 +11,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.admit.ShutdownWindow;
+import io.samphiregauge.core.quota.QuotaCharge;
 import io.samphiregauge.core.result.Failure;
 import io.samphiregauge.core.result.Result;
 import io.samphiregauge.net.HttpServer;
@@ -34,6 +35,7 @@
   private final EventLoopContext loopContext;
   private final Supplier<Optional<ShutdownWindow>> shutdown;
   private Optional<ProxyExchange> exchange = Optional.empty();
+  private Optional<QuotaWait> quotaWait = Optional.empty();
 
   /**
    * Creates the handler of a connection.
@@ -55,8 +57,7 @@
           .router()
           .route(request, loopContext.view(), DualTimestamp.now(), arrivedAtMs(ctx))
           .flatMap(this::admitDuringShutdown)
-          .fold(
-              routed -> startExchange(ctx, routed), failure -> sendRefusal(ctx, request, failure));
+          .fold(routed -> checkQuota(ctx, routed), failure -> sendRefusal(ctx, request, failure));
     } else if (message instanceof RequestError error) {
       loopContext
           .decisionLog()
@@ -90,11 +91,37 @@
                 SHUTDOWN_RETRY_MS));
   }
 
-  private boolean startExchange(ChannelHandlerContext ctx, RoutedRequest request) {
-    ProxyExchange started = new ProxyExchange(loopContext, ctx, request);
+  private boolean checkQuota(ChannelHandlerContext ctx, RoutedRequest request) {
+    QuotaWait wait =
+        new QuotaWait(
+            request,
+            charge -> startExchange(ctx, request, charge),
+            error -> refuse(ctx, request, error));
+    quotaWait = Optional.of(wait);
+    loopContext.quotaGate().submit(wait);
+    return true;
+  }
+
+  private void startExchange(
+      ChannelHandlerContext ctx, RoutedRequest request, Optional<QuotaCharge> charge) {
+    quotaWait = Optional.empty();
+    ProxyExchange started =
+        new ProxyExchange(loopContext, ctx, request, new QuotaSettlement(loopContext, charge));
     exchange = Optional.of(started);
     started.start();
-    return true;
+  }
+
+  private void refuse(ChannelHandlerContext ctx, RoutedRequest request, ErrorResponse error) {
+    quotaWait = Optional.empty();
+    sendRefusal(ctx, request.httpRequest(), error);
+  }
+
+  /** Ends the wait for the quota, and returns the request if it was waiting. */
+  private Optional<RoutedRequest> endQuotaWait() {
+    Optional<QuotaWait> ended = quotaWait;
+    quotaWait = Optional.empty();
+    ended.ifPresent(loopContext.quotaGate()::cancel);
+    return ended.map(QuotaWait::request);
   }
 
   private boolean sendRefusal(ChannelHandlerContext ctx, FullHttpRequest request, Failure failure) {
@@ -130,6 +157,14 @@
   public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
     if (event == HttpServer.RESPOND_NOW) {
       exchange.ifPresent(ProxyExchange::onShutdownEnd);
+      endQuotaWait()
+          .ifPresent(
+              request ->
+                  sendRefusal(
+                      ctx,
+                      request.httpRequest(),
+                      ErrorResponse.notRun(
+                          "shutting_down", "This entry exits now.", SHUTDOWN_RETRY_MS)));
     } else {
       ctx.fireUserEventTriggered(event);
     }
@@ -140,6 +175,7 @@
     Optional<ProxyExchange> unfinished = exchange;
     exchange = Optional.empty();
     unfinished.ifPresent(ProxyExchange::cancel);
+    endQuotaWait().ifPresent(request -> request.httpRequest().release());
   }
 
   @Override
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
@@ -58,6 +58,7 @@
   private final HeldRequests heldRequests = new HeldRequests();
   private final CachedPromptBuffer cachedPrompts = new CachedPromptBuffer();
   private final CrashDetector crashDetector;
+  private final QuotaGate quotaGate;
   private final BufferBudget bufferBudget = new BufferBudget();
   private final Map<String, EngineRates> engineRates = new HashMap<>();
   private final Map<String, SharedRetryBudget> retryBudgets = new HashMap<>();
@@ -84,6 +85,7 @@
     this.connectionPool = new HttpConnectionPool(eventLoop, CONNECT_TIMEOUT_MS, CloseMode.GRACEFUL);
     this.httpClient = new PooledHttpClient(eventLoop);
     this.crashDetector = new CrashDetector(this, callbacks.onServerCrash());
+    this.quotaGate = new QuotaGate(this, settings);
     Sampling randomSubset = Sampling.randomSubset(settings.getFailureDomain(), random);
     this.chooser =
         new ServerChooser(
@@ -132,6 +134,10 @@
     return crashDetector;
   }
 
+  QuotaGate quotaGate() {
+    return quotaGate;
+  }
+
   ServerLoadTable serverLoads() {
     return serverLoads;
   }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ProxyExchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ProxyExchange.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -48,6 +47,7 @@
   private final AttemptPlanner planner;
   private final ReceivedResponses responses;
   private final AttemptConnector connector;
+  private final QuotaSettlement quota;
   private Optional<ForwardAttempt> attempt = Optional.empty();
   private int sendCount;
   private int connectFailures;
@@ -55,8 +55,13 @@
   private boolean outcomeUnknown;
   private boolean finished;
 
-  ProxyExchange(EventLoopContext context, ChannelHandlerContext caller, RoutedRequest request) {
+  ProxyExchange(
+      EventLoopContext context,
+      ChannelHandlerContext caller,
+      RoutedRequest request,
+      QuotaSettlement quota) {
     this.context = context;
+    this.quota = quota;
     this.caller = caller;
     this.request = request;
     this.responses = new ReceivedResponses(context, caller.alloc());
@@ -119,9 +124,7 @@
       return refuse((ErrorResponse) failure);
     }
     return hold.tryHold(paused, planner.givesUpAtMs())
-        || refuse(
-            ErrorResponse.notRun(
-                paused.type(), paused.message(), paused.waitMs(DualTimestamp.monotonicNowMs())));
+        || refuse(paused.asError(DualTimestamp.monotonicNowMs()));
   }
 
   private boolean refuse(ErrorResponse error) {
@@ -148,12 +151,18 @@
       return false;
     }
     current.onSent(connection);
+    quota.onSent();
     if (!current.prefillOnly()) {
       sendCount++;
     }
     log.addForward(current, sendCount);
     connection.send(
-        createRequest(current),
+        OutboundRequestFactory.create(
+            request,
+            current,
+            writer.lastEventId().or(() -> request.meta().lastEventId()),
+            request.deadlineAtMs() - DualTimestamp.monotonicNowMs(),
+            context.dialect()),
         new ResponseListener(
             head -> ResponseMatcher.matches(request, current, head, context.dialect()),
             part -> onResponsePart(current, part),
@@ -213,15 +222,6 @@
     return false;
   }
 
-  private FullHttpRequest createRequest(ForwardAttempt current) {
-    return OutboundRequestFactory.create(
-        request,
-        current,
-        writer.lastEventId().or(() -> request.meta().lastEventId()),
-        request.deadlineAtMs() - DualTimestamp.monotonicNowMs(),
-        context.dialect());
-  }
-
   private void onResponsePart(ForwardAttempt current, HttpObject part) {
     try {
       if (finished || current.ended()) {
@@ -331,9 +331,7 @@
     }
     if (response.isServerError() && request.route().kind().isRetryable() && tryAcquireRetry()) {
       planner.exclude(current.incarnation());
-      log.add(
-          "repeat",
-          "backend=%s cause=status_%d".formatted(current.incarnation(), response.status()));
+      log.addRepeat(current, response.status());
       // The request has run, so later errors must not deny it.
       outcomeUnknown = true;
       responses.saveFailure();
@@ -360,6 +358,7 @@
 
   private void onRejected(ForwardAttempt current, ServerResponse response) {
     current.end();
+    quota.onRejected();
     if (response.isMisdirected()) {
       current.load().recordConnectFailure(DualTimestamp.monotonicNowMs());
     }
@@ -488,6 +487,7 @@
 
   private void finish() {
     finished = true;
+    quota.onEnd();
     hold.end();
     boolean sentForDecoding = attempt.filter(a -> a.isSent() && !a.prefillOnly()).isPresent();
     if (!sentForDecoding) {
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RequestDecisionLog.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RequestDecisionLog.java
@@ -50,6 +50,11 @@
     add(attempt.prefillOnly() ? "prefill" : "forward", fields);
   }
 
+  /** Logs that the request is sent again after a server answered with an error. */
+  void addRepeat(ForwardAttempt attempt, int status) {
+    add("repeat", "backend=%s cause=status_%d".formatted(attempt.incarnation(), status));
+  }
+
   /** Logs the first event of the response. */
   void addFirstEvent(ForwardAttempt attempt) {
     add("first_event", "took_ms=%d since_ms=%d".formatted(attempt.elapsedMs(), sinceArrivalMs()));
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServersPaused.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServersPaused.java
@@ -13,6 +13,11 @@
     return Math.max(1, untilMs - nowMs);
   }
 
+  /** Returns the refusal of a request for this reason. */
+  ErrorResponse asError(long nowMs) {
+    return ErrorResponse.notRun(type(), message(), waitMs(nowMs));
+  }
+
   @Override
   public String type() {
     return "servers_paused";
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/TrafficSide.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/TrafficSide.java
@@ -19,6 +19,9 @@
 import io.samphiregauge.schema.PeerMessage;
 import io.samphiregauge.schema.gateway.EntrySettings;
 import io.samphiregauge.schema.peer.BackendLoads;
+import io.samphiregauge.schema.peer.QuotaAsk;
+import io.samphiregauge.schema.peer.QuotaGrant;
+import io.samphiregauge.schema.peer.QuotaHandover;
 import io.samphiregauge.schema.record.Incarnation;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
@@ -124,6 +127,10 @@
           if (message instanceof BackendLoads received) {
             loopContext.execute(
                 () -> loadExchange.get().ifPresent(exchange -> exchange.onLoadsReceived(received)));
+          } else if (message instanceof QuotaAsk
+              || message instanceof QuotaGrant
+              || message instanceof QuotaHandover) {
+            loopContext.execute(() -> loopContext.quotaGate().onMessage(message));
           } else {
             onPeerMessage.accept(from, message);
           }
@@ -138,6 +145,7 @@
             transport -> {
               PeerLoadExchange exchange = new PeerLoadExchange(loopContext, self, transport);
               loadExchange.set(Optional.of(exchange));
+              loopContext.execute(() -> loopContext.quotaGate().connect(self, transport));
               loopContext.execute(exchange::start);
               return transport;
             });
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/Codec.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/Codec.java
@@ -29,6 +29,9 @@
 import io.samphiregauge.schema.peer.PeerHello;
 import io.samphiregauge.schema.peer.Probe;
 import io.samphiregauge.schema.peer.ProbeAck;
+import io.samphiregauge.schema.peer.QuotaAsk;
+import io.samphiregauge.schema.peer.QuotaGrant;
+import io.samphiregauge.schema.peer.QuotaHandover;
 import io.samphiregauge.schema.peer.ReaderQuery;
 import io.samphiregauge.schema.peer.ReaderReply;
 import io.samphiregauge.schema.peer.RecordsReply;
@@ -108,7 +111,10 @@
           ReaderQuery.class,
           ReaderReply.class,
           CrashQuery.class,
-          CrashReport.class);
+          CrashReport.class,
+          QuotaAsk.class,
+          QuotaGrant.class,
+          QuotaHandover.class);
 
   private static final Codec JSON =
       new Codec(JsonMapper.builder().build(), SchemaIntrospector.forObjects(), bytes -> {});
