--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/QuotaGate.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/QuotaGate.java
@@ -1,7 +1,7 @@
 package io.samphiregauge.gateway.traffic;
 
 import io.samphiregauge.core.DualTimestamp;
-import io.samphiregauge.core.quota.LentCredit;
+import io.samphiregauge.core.quota.CreditExchange.Received;
 import io.samphiregauge.core.quota.QuotaBorrower;
 import io.samphiregauge.core.quota.QuotaCharge;
 import io.samphiregauge.core.quota.QuotaDecision;
@@ -108,8 +108,10 @@
     exchange.ifPresent(connected -> connected.onMessage(message, DualTimestamp.now()));
   }
 
-  private void onCredit(long number, String team, LentCredit credit) {
-    borrower.onGrant(number, team, credit, DualTimestamp.now()).forEach(this::apply);
+  private void onCredit(Received received) {
+    borrower
+        .onGrant(received.number(), received.team(), received.credit(), DualTimestamp.now())
+        .forEach(this::apply);
   }
 
   private void dropUnlimitedTeams() {
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/QuotaMetrics.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/QuotaMetrics.java
@@ -1,5 +1,6 @@
 package io.samphiregauge.gateway.traffic;
 
+import io.samphiregauge.core.quota.CreditExchange.Loan;
 import io.samphiregauge.core.quota.QuotaCharge;
 import io.samphiregauge.core.quota.QuotaDecision.Admitted;
 import java.util.Collection;
@@ -45,9 +46,9 @@
   }
 
   /** Records what this entry, as the lender of a team, has lent and has left. */
-  void recordLent(String team, long amount, long level) {
-    metrics.add("quota_lent." + label(team), amount);
-    metrics.setGauge("quota_level." + label(team), level);
+  void recordLoan(Loan loan) {
+    metrics.add("quota_lent." + label(loan.team()), loan.amount());
+    metrics.setGauge("quota_level." + label(loan.team()), loan.level());
   }
 
   private String label(String team) {
