--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GroupFollower.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GroupFollower.java
@@ -2,6 +2,7 @@
 
 import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.quota.MembershipLease;
+import io.samphiregauge.core.quota.MembershipTracker;
 import io.samphiregauge.gateway.GroupMember;
 import io.samphiregauge.gateway.port.SharedStore;
 import java.lang.System.Logger;
@@ -44,10 +45,7 @@
   private boolean membersStale = true;
   private boolean stopped;
   private DualTimestamp lastJoinFailure = DualTimestamp.NEVER;
-  private DualTimestamp lastJoinSent = DualTimestamp.NEVER;
-  private DualTimestamp memberSince = DualTimestamp.NEVER;
-  private boolean successor;
-  private DualTimestamp listConfirmedAt = DualTimestamp.NEVER;
+  private final MembershipTracker tracker = new MembershipTracker(LEASE_MS);
 
   GroupFollower(ControlThread control, SharedStore store, GroupMember self, Runnable onChange) {
     this.control = control;
@@ -77,7 +75,7 @@
 
   /** Returns how long this entry may rely on the list of members. */
   MembershipLease lease() {
-    return new MembershipLease(listConfirmedAt, memberSince, successor, LEASE_MS);
+    return tracker.lease();
   }
 
   /** Returns the index of this entry among all members, which staggers claims of the lease. */
@@ -99,7 +97,7 @@
             membersStale = true;
             return;
           }
-          recordJoined(sentAt);
+          tracker.recordJoined(sentAt, DualTimestamp.now());
           long joinedGeneration = result.value().orElseThrow();
           membersStale = membersStale || joinedGeneration != generation;
           generation = joinedGeneration;
@@ -111,17 +109,8 @@
         });
   }
 
-  /** Starts the membership anew if the store may have dropped this entry since the last join. */
-  private void recordJoined(DualTimestamp sentAt) {
-    if (DualTimestamp.now().millisSince(lastJoinSent) >= LEASE_MS) {
-      memberSince = sentAt;
-      successor = false;
-    }
-    lastJoinSent = sentAt;
-  }
-
   private void confirmList(DualTimestamp joinSentAt) {
-    listConfirmedAt = joinSentAt;
+    tracker.recordListConfirmed(joinSentAt);
     onChange.run();
   }
 
@@ -148,10 +137,9 @@
     if (!next.contains(self)) {
       next.add(self);
     }
-    if (next.stream().anyMatch(this::isPredecessor)) {
-      // No other entry has taken over from the earlier process, which is not running any more.
-      successor = true;
-    }
+    next.stream()
+        .filter(member -> member.vm().equals(self.vm()))
+        .forEach(member -> tracker.recordPredecessor(self.startMs() - member.startMs()));
     if (DualTimestamp.now().millisSince(lastJoinFailure) < REJOIN_GRACE_MS) {
       members.stream().filter(member -> !next.contains(member)).forEach(next::add);
       membersStale = true;
@@ -164,11 +152,6 @@
     }
   }
 
-  /** Returns whether a member is an earlier process of this VM that had been a member for long. */
-  private boolean isPredecessor(GroupMember member) {
-    return member.vm().equals(self.vm()) && member.startMs() < self.startMs() - 2 * LEASE_MS;
-  }
-
   private static List<String> vms(List<GroupMember> members) {
     return members.stream().map(GroupMember::vm).toList();
   }
