--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GroupFollower.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GroupFollower.java
@@ -1,6 +1,8 @@
 package io.samphiregauge.gateway.control;
 
 import io.samphiregauge.core.DualTimestamp;
+import io.samphiregauge.core.quota.MembershipLease;
+import io.samphiregauge.core.quota.MembershipTracker;
 import io.samphiregauge.gateway.GroupMember;
 import io.samphiregauge.gateway.port.SharedStore;
 import java.lang.System.Logger;
@@ -28,6 +30,12 @@
    */
   private static final long REJOIN_GRACE_MS = 2_500;
 
+  /**
+   * Time from the send of a join for which the store certainly keeps the member, less what a call
+   * and the difference of two clocks take.
+   */
+  static final long LEASE_MS = SharedStore.MEMBER_TTL_MS - 200;
+
   private final ControlThread control;
   private final SharedStore store;
   private final GroupMember self;
@@ -37,6 +45,7 @@
   private boolean membersStale = true;
   private boolean stopped;
   private DualTimestamp lastJoinFailure = DualTimestamp.NEVER;
+  private final MembershipTracker tracker = new MembershipTracker(LEASE_MS);
 
   GroupFollower(ControlThread control, SharedStore store, GroupMember self, Runnable onChange) {
     this.control = control;
@@ -64,6 +73,11 @@
     return members;
   }
 
+  /** Returns how long this entry may rely on the list of members. */
+  MembershipLease lease() {
+    return tracker.lease();
+  }
+
   /** Returns the index of this entry among all members, which staggers claims of the lease. */
   int rank() {
     return Math.max(0, members.indexOf(self));
@@ -74,6 +88,7 @@
       return;
     }
     control.schedule(JOIN_PERIOD_MS, this::join);
+    DualTimestamp sentAt = DualTimestamp.now();
     control.onResult(
         store.groupJoiner().join(self.encode(), generation),
         result -> {
@@ -82,16 +97,24 @@
             membersStale = true;
             return;
           }
+          tracker.recordJoined(sentAt, DualTimestamp.now());
           long joinedGeneration = result.value().orElseThrow();
           membersStale = membersStale || joinedGeneration != generation;
           generation = joinedGeneration;
           if (membersStale && !stopped) {
-            readMembers();
+            readMembers(sentAt);
+          } else {
+            confirmList(sentAt);
           }
         });
   }
 
-  private void readMembers() {
+  private void confirmList(DualTimestamp joinSentAt) {
+    tracker.recordListConfirmed(joinSentAt);
+    onChange.run();
+  }
+
+  private void readMembers(DualTimestamp joinSentAt) {
     control.onResult(
         store.memberReader().read(),
         result ->
@@ -101,6 +124,7 @@
                     texts -> {
                       membersStale = false;
                       onMembersRead(texts);
+                      confirmList(joinSentAt);
                     }));
   }
 
@@ -113,6 +137,9 @@
     if (!next.contains(self)) {
       next.add(self);
     }
+    next.stream()
+        .filter(member -> member.vm().equals(self.vm()))
+        .forEach(member -> tracker.recordPredecessor(self.startMs() - member.startMs()));
     if (DualTimestamp.now().millisSince(lastJoinFailure) < REJOIN_GRACE_MS) {
       members.stream().filter(member -> !next.contains(member)).forEach(next::add);
       membersStale = true;
