End a planned stop with its log and usage complete, and within its grace

Cause: after SIGTERM the logging library closed the log in a shutdown hook of its own, so no line of a stop was ever written, and the usage counts of the requests during the stop were dropped: the flush was posted to a control thread that was shut down in the next statement. Nothing bounded a stop whose parts hang.

Ruled out: starved shutdown threads on 0.27 of a core, waiting for the store, event loops that do not end.

--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/Gateway.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/Gateway.java
@@ -41,9 +41,12 @@
    */
   private static final long STALE_DIRECTORY_MS = 3_200;
 
-  /** Time before SIGKILL at which the process exits by itself. */
+  /** Time before SIGKILL at which the process stops to wait for its callers. */
   private static final long EXIT_MARGIN_MS = 700;
 
+  /** Longest wait for the last usage counts to be written. */
+  private static final long USAGE_FLUSH_MS = 300;
+
   /** Time before the exit at which the last response must be written. */
   private static final long LAST_RESPONSE_MARGIN_MS = 100;
 
@@ -169,17 +172,23 @@
     return traffic.metrics();
   }
 
+  /** Returns the time from the start of a shutdown until the process is killed, in milliseconds. */
+  public long shutdownGraceMs() {
+    return settings.getShutdownGraceS() * MS_PER_S;
+  }
+
   /**
    * Stops gracefully: directs callers to other entries, refuses requests that may outlast the
    * shutdown grace period, then closes the listener, then waits for running requests to complete.
    * Those still running at the end of the grace period are answered with an error.
    *
-   * @return completes when no request is running, or when the shutdown grace period ends
+   * @return completes when no request is running, or when the shutdown grace period ends, and the
+   *     usage counts are written or the store does not answer
    */
   public CompletableFuture<Void> stop() {
     stopping = true;
     LOG.log(Level.INFO, "event=stopping vm={0}", self.vm());
-    long graceMs = settings.getShutdownGraceS() * MS_PER_S - EXIT_MARGIN_MS;
+    long graceMs = shutdownGraceMs() - EXIT_MARGIN_MS;
     long lastResponseMs = graceMs - LAST_RESPONSE_MARGIN_MS;
     long nowMs = DualTimestamp.monotonicNowMs();
     traffic.beginShutdown(new ShutdownWindow(nowMs, nowMs + lastResponseMs));
@@ -192,12 +201,23 @@
             STALE_DIRECTORY_MS,
             TimeUnit.MILLISECONDS);
     loops.next().schedule(traffic::endPendingRequests, lastResponseMs, TimeUnit.MILLISECONDS);
-    return finished.completeOnTimeout(null, graceMs, TimeUnit.MILLISECONDS);
+    return finished
+        .completeOnTimeout(null, graceMs, TimeUnit.MILLISECONDS)
+        .thenCompose(done -> flushUsage(nowMs));
+  }
+
+  /** Writes the counts of the requests that began during the stop, for a short time at most. */
+  private CompletableFuture<Void> flushUsage(long stopStartedAtMs) {
+    LOG.log(
+        Level.INFO,
+        "event=callers_closed vm={0} took_ms={1}",
+        self.vm(),
+        Long.toString(DualTimestamp.monotonicNowMs() - stopStartedAtMs));
+    return control.flushUsage().completeOnTimeout(null, USAGE_FLUSH_MS, TimeUnit.MILLISECONDS);
   }
 
   @Override
   public void close() {
-    control.flushUsage();
     control.close();
     loops.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
     LOG.log(Level.INFO, "event=stopped vm={0}", self.vm());
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
@@ -15,6 +15,7 @@
 import io.samphiregauge.schema.gateway.EntrySettings;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -215,9 +216,15 @@
         });
   }
 
-  /** Writes the usage counts that are not in the store yet. Thread-safe. */
-  public void flushUsage() {
-    control.post(usageRecorder::flush);
+  /**
+   * Writes the usage counts that are not in the store yet. Thread-safe.
+   *
+   * @return completes when they are written, or the write has failed
+   */
+  public CompletableFuture<Void> flushUsage() {
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    control.post(() -> usageRecorder.flush(() -> done.complete(null)));
+    return done;
   }
 
   @Override
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/UsageRecorder.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/UsageRecorder.java
@@ -90,8 +90,19 @@
 
   /** Writes the counts now if there are any that are not in the store. */
   void flush() {
+    flush(() -> {});
+  }
+
+  /**
+   * Writes the counts now if there are any that are not in the store.
+   *
+   * @param whenDone called when they are written, or the write has failed
+   */
+  void flush(Runnable whenDone) {
     if (hasUnwrittenCounts) {
-      writeRecord();
+      writeRecord(whenDone);
+    } else {
+      whenDone.run();
     }
   }
 
@@ -119,7 +130,7 @@
     }
   }
 
-  private void writeRecord() {
+  private void writeRecord(Runnable whenDone) {
     hasUnwrittenCounts = false;
     UsageRecord record =
         new UsageRecord(self.vm(), self.startMs(), aggregator.recentWindows(processKey));
@@ -133,6 +144,7 @@
             hasUnwrittenCounts = true;
             scheduleRetry();
           }
+          whenDone.run();
         });
   }
 }
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/AsyncLogHandler.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/AsyncLogHandler.java
@@ -16,6 +16,9 @@
 public final class AsyncLogHandler extends Handler {
   private static final int MAX_QUEUED = 8_192;
 
+  /** Longest wait for the last lines, so that a blocked output does not delay an exit. */
+  private static final long CLOSE_WAIT_MS = 200;
+
   private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(MAX_QUEUED);
   private final LongAdder dropped = new LongAdder();
   private final PrintStream out;
@@ -61,9 +64,15 @@
     out.flush();
   }
 
+  /** Writes the queued lines and ends the writer thread; waits for it for a short time. */
   @Override
   public void close() {
     thread.interrupt();
+    try {
+      thread.join(CLOSE_WAIT_MS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
   }
 
   private void run() {
