Spread callers over entries by what each can bear and by its load

Cause: an answer of the directory listed all entries of the failure domain alike, although they differ by 0.27 to 1.5 cores and 7 to 140 Mbit/s; busy, starting or cut off entries got as many callers as the others.

Change: core.directory weighs entries by capacity (optional setting vmLimits, in the first field of the member's record) and by the share that each one asks for (ShareNotice, sent only by entries in trouble). Each caller, told apart by its address, keeps a sample in which entries appear in proportion to their weight; a short domain borrows from sound ones. Without capacities, or if all are alike, the answer is as before.

Ruled out: a new sample for each answer, which closes connections; repeated addresses; heads that may freeze.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/RendezvousHash.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/RendezvousHash.java
@@ -36,8 +36,14 @@
     return selected;
   }
 
-  /** Returns a weight between 0 and 1, both excluded, that depends only on the key and the name. */
-  private static double weight(String key, String name) {
+  /**
+   * Returns the weight of a candidate.
+   *
+   * @param key the key
+   * @param name name of the candidate
+   * @return number between 0 and 1, both excluded, that depends only on the key and the name
+   */
+  public static double weight(String key, String name) {
     long hash = mix(hash(key) * GOLDEN_RATIO ^ mix(hash(name)));
     return ((hash >>> 11) + 0.5) * 0x1.0p-53;
   }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/Gateway.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/Gateway.java
@@ -113,7 +113,8 @@
             System.currentTimeMillis(),
             settings.getFailureDomain(),
             settings.getCallerAddress(),
-            settings.getPeerAddress());
+            settings.getPeerAddress(),
+            settings.getVmLimits().map(EntryDirectory::toCapacity));
     AtomicReference<GatewayView> view = new AtomicReference<>(GatewayView.empty());
     GatewayControl control =
         new GatewayControl(
@@ -161,10 +162,11 @@
    * Returns the addresses of the entries to which a caller should connect.
    *
    * @param domain failure domain of the caller
+   * @param caller identifies the caller; one that asks again gets a similar answer
    * @return addresses to which the caller may connect
    */
-  public List<String> directoryAddresses(String domain) {
-    return EntryDirectory.addressesFor(view.get().members(), domain);
+  public List<String> directoryAddresses(String domain, String caller) {
+    return traffic.directoryAddresses(domain, caller);
   }
 
   /** Returns the counters and latencies of this entry. */
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/PageServer.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/PageServer.java
@@ -16,6 +16,7 @@
 import io.samphiregauge.net.HttpLimits;
 import io.samphiregauge.net.HttpServer;
 import io.samphiregauge.net.RequestError;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.function.Function;
 
@@ -25,6 +26,19 @@
 
   private PageServer() {}
 
+  /** Returns a page for a path with its query, and the IP address of the sender of the request. */
+  @FunctionalInterface
+  public interface PageFunction {
+    /**
+     * Returns a page. Called on an event loop.
+     *
+     * @param uri path and query
+     * @param senderIp IP address of the sender
+     * @return the page
+     */
+    Page apply(String uri, String senderIp);
+  }
+
   /**
    * A response.
    *
@@ -44,26 +58,45 @@
    */
   public static Result<HttpServer> start(
       EventLoopGroup loops, Address address, Function<String, Page> handler) {
+    return start(loops, address, (uri, senderIp) -> handler.apply(uri));
+  }
+
+  /**
+   * Starts a server whose pages depend on the sender of the request.
+   *
+   * @param loops event loops for the connections
+   * @param address address to bind
+   * @param handler returns the page for a request
+   * @return the server, or a failure if the address cannot be bound
+   */
+  public static Result<HttpServer> start(
+      EventLoopGroup loops, Address address, PageFunction handler) {
     return HttpServer.start(
         loops, address, HttpLimits.defaults(), CLOCK, channel -> new PageHandler(handler));
   }
 
   private static final class PageHandler extends SimpleChannelInboundHandler<Object> {
-    private final Function<String, Page> handler;
+    private final PageFunction handler;
 
-    PageHandler(Function<String, Page> handler) {
+    PageHandler(PageFunction handler) {
       this.handler = handler;
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, Object message) {
       if (message instanceof FullHttpRequest request) {
-        write(ctx, handler.apply(request.uri()));
+        write(ctx, handler.apply(request.uri(), senderIp(ctx)));
       } else if (message instanceof RequestError error) {
         write(ctx, new Page(error.status(), "text/plain", error.message()));
       }
     }
 
+    private static String senderIp(ChannelHandlerContext ctx) {
+      return ctx.channel().remoteAddress() instanceof InetSocketAddress sender
+          ? sender.getAddress().getHostAddress()
+          : "";
+    }
+
     private static void write(ChannelHandlerContext ctx, Page page) {
       var body = Unpooled.copiedBuffer(page.body(), StandardCharsets.UTF_8);
       var response =
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/GatewayMetrics.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/GatewayMetrics.java
@@ -16,6 +16,10 @@
     registry.counter(name).inc();
   }
 
+  long count(String name) {
+    return registry.counter(name).getCount();
+  }
+
   void recordDurationMs(String name, long durationMs) {
     registry.timer(name).update(durationMs, TimeUnit.MILLISECONDS);
   }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/TrafficSide.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/TrafficSide.java
@@ -19,9 +19,11 @@
 import io.samphiregauge.schema.PeerMessage;
 import io.samphiregauge.schema.gateway.EntrySettings;
 import io.samphiregauge.schema.peer.BackendLoads;
+import io.samphiregauge.schema.peer.ShareNotice;
 import io.samphiregauge.schema.record.Incarnation;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
@@ -42,12 +44,15 @@
   private final AtomicReference<Optional<ShutdownWindow>> shutdown;
   private final PeerTransport peerTransport;
   private final HttpServer server;
+  private final ShareExchange shares;
 
   private TrafficSide(
       GatewayMetrics metrics,
       AtomicReference<Optional<ShutdownWindow>> shutdown,
       PeerTransport peerTransport,
-      HttpServer server) {
+      HttpServer server,
+      ShareExchange shares) {
+    this.shares = shares;
     this.metrics = metrics;
     this.peerTransport = peerTransport;
     this.shutdown = shutdown;
@@ -91,24 +96,54 @@
             metrics,
             new DecisionLogWriter(eventLoop, log));
     AtomicReference<Optional<ShutdownWindow>> shutdown = new AtomicReference<>(Optional.empty());
-    return startPeerTransport(loops, self, loopContext, callbacks.onPeerMessage())
+    EntryLoadMeter meter = new EntryLoadMeter();
+    AtomicReference<Optional<ShareExchange>> shares = new AtomicReference<>(Optional.empty());
+    return startPeerTransport(
+            loops,
+            self,
+            loopContext,
+            withShareNotices(loopContext, shares::get, callbacks.onPeerMessage()))
         .flatMap(
-            transport ->
-                startServer(self, eventLoop, loopContext, shutdown::get)
-                    .map(server -> new TrafficSide(metrics, shutdown, transport, server)));
+            transport -> {
+              ShareExchange exchange =
+                  new ShareExchange(
+                      loopContext, self, transport, meter, () -> settings.get().getRevocationMs());
+              shares.set(Optional.of(exchange));
+              loopContext.execute(exchange::start);
+              return startServer(self, eventLoop, loopContext, meter, shutdown::get)
+                  .map(server -> new TrafficSide(metrics, shutdown, transport, server, exchange));
+            });
+  }
+
+  /** Passes the shares of other entries to the event loop, and all other messages on. */
+  private static BiConsumer<String, PeerMessage> withShareNotices(
+      EventLoopContext loopContext,
+      Supplier<Optional<ShareExchange>> shares,
+      BiConsumer<String, PeerMessage> others) {
+    return (from, message) -> {
+      if (message instanceof ShareNotice notice) {
+        loopContext.execute(() -> shares.get().ifPresent(exchange -> exchange.onNotice(notice)));
+      } else {
+        others.accept(from, message);
+      }
+    };
   }
 
   private static Result<HttpServer> startServer(
       GroupMember self,
       EventLoop eventLoop,
       EventLoopContext loopContext,
+      EntryLoadMeter meter,
       Supplier<Optional<ShutdownWindow>> shutdown) {
     return HttpServer.start(
         eventLoop,
         EventLoopContext.parseAddress(self.callerAddress()),
         HttpLimits.defaults(),
         CLOCK,
-        channel -> new CallerHandler(loopContext, shutdown));
+        channel -> {
+          channel.pipeline().addFirst(meter.connectionHandler());
+          return new CallerHandler(loopContext, shutdown);
+        });
   }
 
   private static Result<PeerTransport> startPeerTransport(
@@ -148,6 +183,18 @@
     return server.address();
   }
 
+  /**
+   * Returns the addresses of the entries to which a caller should connect. Called on the event
+   * loop.
+   *
+   * @param domain failure domain of the caller
+   * @param caller identifies the caller
+   * @return addresses to which the caller may connect
+   */
+  public List<String> directoryAddresses(String domain, String caller) {
+    return shares.addressesFor(domain, caller);
+  }
+
   /** Returns the counters and latencies of this entry. */
   public GatewayMetrics metrics() {
     return metrics;
