--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/Gateway.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/Gateway.java
@@ -6,6 +6,7 @@
 import io.samphiregauge.core.admit.ShutdownWindow;
 import io.samphiregauge.core.result.Result;
 import io.samphiregauge.gateway.control.GatewayControl;
+import io.samphiregauge.gateway.control.StoreCallCounter;
 import io.samphiregauge.gateway.port.Dialect;
 import io.samphiregauge.gateway.port.FleetApi;
 import io.samphiregauge.gateway.port.SharedStore;
@@ -116,9 +117,16 @@
             settings.getPeerAddress(),
             settings.getVmLimits().map(EntryDirectory::toCapacity));
     AtomicReference<GatewayView> view = new AtomicReference<>(GatewayView.empty());
+    GatewayMetrics metrics = new GatewayMetrics();
+    StoreCallCounter storeCalls = new StoreCallCounter(metrics::increment);
     GatewayControl control =
         new GatewayControl(
-            settings, self, adapter.store(), adapter.valueDecoder(), adapter.fleet(), view::set);
+            settings,
+            self,
+            storeCalls.count(adapter.store()),
+            adapter.valueDecoder(),
+            adapter.fleet(),
+            view::set);
     return TrafficSide.start(
             settingsWatch,
             self,
@@ -131,12 +139,13 @@
                 control::recordCompletion,
                 control::recordTrialStarted,
                 control::onPeerMessage),
-            new GatewayMetrics(),
+            metrics,
             log)
         .map(
             traffic -> {
               control.start(traffic::sendToPeer);
               control.runPeriodically(SettingsWatch.RELOAD_PERIOD_MS, settingsWatch::reload);
+              control.runPeriodically(StoreCallCounter.LOG_PERIOD_MS, storeCalls::log);
               LOG.log(
                   Level.INFO,
                   "event=started vm={0} boot={1} address={2}",
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/GatewayMetrics.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/GatewayMetrics.java
@@ -12,7 +12,8 @@
     return registry;
   }
 
-  void increment(String name) {
+  /** Adds 1 to a counter. */
+  public void increment(String name) {
     registry.counter(name).inc();
   }
 
