--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/GatewayMetrics.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/GatewayMetrics.java
@@ -16,7 +16,8 @@
     return registry;
   }
 
-  void increment(String name) {
+  /** Adds 1 to a counter. */
+  public void increment(String name) {
     registry.counter(name).inc();
   }
 
@@ -37,6 +38,10 @@
         .set(value);
   }
 
+  long count(String name) {
+    return registry.counter(name).getCount();
+  }
+
   void recordDurationMs(String name, long durationMs) {
     registry.timer(name).update(durationMs, TimeUnit.MILLISECONDS);
   }
