Share the places of a service between entries, and spread requests over servers with old loads

Cause: an entry of a large group knows the loads of the others up to 0.75 s late. Change: core.room keeps an account of the places of each service by server (own sends exact, others' from the load messages, limits learned from rejections), shares them by demand that travels with the loads, and lets a request take the place that an earlier one of its entry gave back. Off unless the setting serviceRoom is there and the group is large.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/exchange/LoadExchange.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/exchange/LoadExchange.java
@@ -4,6 +4,7 @@
 import io.samphiregauge.schema.peer.BackendLoads;
 import io.samphiregauge.schema.peer.CachedPrompt;
 import io.samphiregauge.schema.peer.LoadScope;
+import io.samphiregauge.schema.peer.ServiceDemand;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -57,6 +58,7 @@
   private final Map<String, Received> domainLoads = new HashMap<>();
   private Optional<Received> fleetLoads = Optional.empty();
   private List<BackendLoad> lastOwnLoads = List.of();
+  private List<ServiceDemand> ownDemands = List.of();
   private final List<CachedPrompt> promptsForDomains = new ArrayList<>();
   private final List<CachedPrompt> promptsForEntries = new ArrayList<>();
   private long firstHeadHeardMs = Long.MIN_VALUE;
@@ -115,6 +117,15 @@
     return sendPeriodMs(entries) * (entries <= MAX_MESH_ENTRIES ? 1 : TREE_HOPS);
   }
 
+  /**
+   * Sets the demand at this entry, which later messages contain.
+   *
+   * @param demands demand for each service that has some; empty to send none
+   */
+  public void setOwnDemands(List<ServiceDemand> demands) {
+    ownDemands = List.copyOf(demands);
+  }
+
   /**
    * Returns the messages that are due after a period.
    *
@@ -130,7 +141,7 @@
     lastOwnLoads = ownLoads;
     List<Peer> others = members.stream().filter(peer -> !peer.vm().equals(vm)).toList();
     tree = others.size() >= MAX_MESH_ENTRIES;
-    BackendLoads own = new BackendLoads(vm, domain, LoadScope.ENTRY, ownLoads, ownPrompts);
+    BackendLoads own = message(LoadScope.ENTRY, ownLoads, ownPrompts, ownDemands);
     if (!tree) {
       head = false;
       return outgoing(others.stream(), own).toList();
@@ -168,17 +179,28 @@
     }
     List<BackendLoad> domainSum = sum(Stream.concat(received(entryLoads), Stream.of(ownLoads)));
     List<BackendLoad> fleetSum = sum(Stream.concat(received(domainLoads), Stream.of(domainSum)));
+    List<ServiceDemand> domainDemand =
+        ServiceDemands.sum(Stream.concat(demands(entryLoads), Stream.of(ownDemands)));
+    List<ServiceDemand> fleetDemand =
+        ServiceDemands.sum(Stream.concat(demands(domainLoads), Stream.of(domainDemand)));
     Stream<Peer> otherHeads = otherDomains.values().stream().flatMap(list -> heads(list).stream());
     Stream<Peer> entries = ownDomain.stream().filter(peer -> !peer.vm().equals(vm));
     return Stream.concat(
-            outgoing(otherHeads, message(LoadScope.DOMAIN, domainSum, promptsForDomains)),
-            outgoing(entries, message(LoadScope.FLEET, fleetSum, promptsForEntries)))
+            outgoing(
+                otherHeads, message(LoadScope.DOMAIN, domainSum, promptsForDomains, domainDemand)),
+            outgoing(entries, message(LoadScope.FLEET, fleetSum, promptsForEntries, fleetDemand)))
         .toList();
   }
 
   private BackendLoads message(
-      LoadScope scope, List<BackendLoad> loads, List<CachedPrompt> prompts) {
-    return new BackendLoads(vm, domain, scope, loads, List.copyOf(prompts));
+      LoadScope scope,
+      List<BackendLoad> loads,
+      List<CachedPrompt> prompts,
+      List<ServiceDemand> demands) {
+    List<CachedPrompt> sentPrompts = List.copyOf(prompts);
+    return demands.isEmpty()
+        ? new BackendLoads(vm, domain, scope, loads, sentPrompts)
+        : new BackendLoads(vm, domain, scope, loads, sentPrompts, demands);
   }
 
   private static Stream<Outgoing> outgoing(Stream<Peer> receivers, BackendLoads message) {
@@ -237,6 +259,41 @@
         tree ? Stream.concat(received(entryLoads), received(domainLoads)) : received(entryLoads));
   }
 
+  /**
+   * Returns the demand of the other entries, as far as known.
+   *
+   * @param nowMs monotonic time in milliseconds
+   * @return one demand for each service that has some
+   */
+  public List<ServiceDemand> otherEntriesDemands(long nowMs) {
+    expire(nowMs);
+    if (tree && !head) {
+      return fleetLoads
+          .flatMap(received -> received.message().getDemands())
+          .map(fleet -> ServiceDemands.difference(fleet, ownDemands))
+          .orElse(List.of());
+    }
+    return ServiceDemands.sum(
+        tree ? Stream.concat(demands(entryLoads), demands(domainLoads)) : demands(entryLoads));
+  }
+
+  /**
+   * Returns whether the loads of other entries are known at all.
+   *
+   * @param nowMs monotonic time in milliseconds
+   */
+  public boolean hearsOthers(long nowMs) {
+    expire(nowMs);
+    if (tree && !head) {
+      return fleetLoads.isPresent();
+    }
+    return !entryLoads.isEmpty() || !domainLoads.isEmpty();
+  }
+
+  private static Stream<List<ServiceDemand>> demands(Map<String, Received> messages) {
+    return messages.values().stream().flatMap(received -> received.message().getDemands().stream());
+  }
+
   /** Removes the part of this entry, as last sent, from the sum of all entries. */
   private List<BackendLoad> subtractOwn(BackendLoads fleet) {
     Map<Integer, BackendLoad> own = new HashMap<>();
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
@@ -53,7 +53,8 @@
   private final HttpConnectionPool connectionPool;
   private final PooledHttpClient httpClient;
   private final ServerChooser chooser;
-  private final ServerLoadTable serverLoads = new ServerLoadTable();
+  private final RoomAccount room;
+  private final ServerLoadTable serverLoads;
   private final ServerNoticeRecorder serverNotices = new ServerNoticeRecorder(this);
   private final HeldRequests heldRequests = new HeldRequests();
   private final CachedPromptBuffer cachedPrompts = new CachedPromptBuffer();
@@ -83,6 +84,8 @@
     this.decisionLog = decisionLog;
     this.connectionPool = new HttpConnectionPool(eventLoop, CONNECT_TIMEOUT_MS, CloseMode.GRACEFUL);
     this.httpClient = new PooledHttpClient(eventLoop);
+    this.room = new RoomAccount(this, settings.getServiceRoom().orElse(false));
+    this.serverLoads = new ServerLoadTable(room);
     this.crashDetector = new CrashDetector(this, callbacks.onServerCrash());
     Sampling randomSubset = Sampling.randomSubset(settings.getFailureDomain(), random);
     this.chooser =
@@ -117,7 +120,7 @@
   }
 
   /** Returns whether the group is so large that the loads of other entries are stale. */
-  private boolean areLoadsStale() {
+  boolean areLoadsStale() {
     return LoadExchange.maxAgeMs(viewSupplier.get().members().size()) > MAX_LOAD_AGE_MS;
   }
 
@@ -136,6 +139,10 @@
     return serverLoads;
   }
 
+  RoomAccount room() {
+    return room;
+  }
+
   ServerNoticeRecorder serverNotices() {
     return serverNotices;
   }
@@ -178,8 +185,9 @@
     return viewSupplier.get().config().flatMap(config -> config.engineSpec(service));
   }
 
-  /** Records a request in the retry budget of its service. */
+  /** Records a request in the retry budget and the demand of its service. */
   void recordRequest(String service) {
+    room.onArrival(service);
     retryBudget(service).recordRequest(DualTimestamp.monotonicNowMs());
   }
 
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/PeerLoadExchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/PeerLoadExchange.java
@@ -54,6 +54,7 @@
   private void sendPeriodically() {
     List<GroupMember> members = context.view().members();
     context.schedule(LoadExchange.sendPeriodMs(members.size()), this::sendPeriodically);
+    exchange.setOwnDemands(context.room().ownDemands());
     exchange
         .messages(
             members.stream().map(PeerLoadExchange::toPeer).distinct().toList(),
@@ -103,5 +104,6 @@
           others.map(BackendLoad::getRunning).orElse(0),
           others.map(BackendLoad::getPromptTokens).orElse(0L));
     }
+    context.room().onExchange(exchange);
   }
 }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServerLoadTable.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServerLoadTable.java
@@ -30,9 +30,19 @@
   private final Map<String, ServerLoad> byIncarnation = new HashMap<>();
   private final Map<Integer, ServerLoad> byKey = new HashMap<>();
   private final ServerNotices notices = new ServerNotices();
+  private final RoomAccount room;
   private Map<String, List<ServerLoad>> byService = Map.of();
   private long serversVersion = -1;
 
+  /**
+   * Creates a table without servers.
+   *
+   * @param room account of the room of each service
+   */
+  ServerLoadTable(RoomAccount room) {
+    this.room = room;
+  }
+
   /** Replaces the servers with those of a view, keeping the load of each known incarnation. */
   void update(GatewayView view) {
     if (view.serversVersion() == serversVersion || view.config().isEmpty()) {
@@ -53,6 +63,7 @@
       loadsByService.computeIfAbsent(server.service(), name -> new ArrayList<>()).add(load);
     }
     byService = loadsByService;
+    room.update(byService);
     previous.values().stream()
         .filter(load -> !byIncarnation.containsKey(load.server().incarnation()))
         .filter(load -> notices.isLeaving(load.server()))
@@ -94,9 +105,14 @@
    * @param service name of the service
    * @param triedIncarnations servers that the request has already tried
    * @param nowMs monotonic time in milliseconds
-   * @return announced servers that were not tried, do not leave, and do not want a pause
+   * @return announced servers that were not tried, do not leave, and do not want a pause; of these
+   *     only such with room, if any
    */
   List<ServerLoad> candidates(String service, Set<String> triedIncarnations, long nowMs) {
+    return room.narrow(service, usable(service, triedIncarnations, nowMs), nowMs);
+  }
+
+  private List<ServerLoad> usable(String service, Set<String> triedIncarnations, long nowMs) {
     List<ServerLoad> all = byService.getOrDefault(service, List.of());
     if (triedIncarnations.isEmpty() && notices.isEmpty()) {
       return all;
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServerNoticeRecorder.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServerNoticeRecorder.java
@@ -29,6 +29,7 @@
    * @param requestId identifier of the caller's attempt, for the log
    */
   void onResponseHead(ForwardAttempt attempt, ServerResponse response, String requestId) {
+    context.room().onResponseHead(attempt, response);
     if (response.isMisdirected()) {
       // Another server responded, at an address that the expected one had before.
       return;
@@ -86,6 +87,7 @@
 
   /** Records that a server is chosen for a request, and logs the first choice after a wait. */
   void onChosen(ServerLoad load) {
+    context.room().onChosen(load);
     if (notices().recordContact(load.server(), DualTimestamp.monotonicNowMs())) {
       LOG.log(Level.INFO, "event=server_wait_ended backend={0}", load.server().incarnation());
     }
