Test the room of services with lying, silent and late peers, killed entries and lost servers

A server that rejects below its slots is paused for 0.4 to 3.2 s; an entry that has not sent for half a second may send one request whatever others claim; an entry that hears nobody uses eight equal shares.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/room/PlaceLimit.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/room/PlaceLimit.java
@@ -22,9 +22,12 @@
   private static final double NEARLY_FULL = 0.8;
 
   /** Time without new requests after a rejection; in it a full server ends some of its requests. */
-  private static final long FIRST_PAUSE_MS = 50;
+  private static final long FULL_PAUSE_MS = 50;
 
-  private static final int MAX_PAUSE_DOUBLINGS = 4;
+  /** Pause after the rejection by a server that should have room: it takes requests no sooner. */
+  private static final long CLOSED_PAUSE_MS = 400;
+
+  private static final int MAX_PAUSE_DOUBLINGS = 3;
 
   private final int slots;
   private double limit;
@@ -59,16 +62,18 @@
   /**
    * Records that the server rejected a request for lack of room.
    *
+   * @param cause why it rejected the request
    * @param sentAtMs time at which the request was sent
    * @param maxAgeMs age that known loads can reach; rejections in that time have one cause
    * @param nowMs current time
    */
-  public void recordRejection(long sentAtMs, long maxAgeMs, long nowMs) {
+  public void recordRejection(RejectionCause cause, long sentAtMs, long maxAgeMs, long nowMs) {
     if (sentAtMs < pausedUntilMs) {
       // Sent before the last rejection was known.
       return;
     }
-    pausedUntilMs = nowMs + (FIRST_PAUSE_MS << Math.min(rejections, MAX_PAUSE_DOUBLINGS));
+    long firstPauseMs = cause == RejectionCause.FULL ? FULL_PAUSE_MS : CLOSED_PAUSE_MS;
+    pausedUntilMs = nowMs + (firstPauseMs << Math.min(rejections, MAX_PAUSE_DOUBLINGS));
     rejections++;
     if (decreasedAtMs == Long.MIN_VALUE || nowMs - decreasedAtMs > maxAgeMs) {
       decreasedAtMs = nowMs;
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/room/RoomLedger.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/room/RoomLedger.java
@@ -54,6 +54,11 @@
     places(service).recordArrival(nowMs);
   }
 
+  /** Records that a server is chosen for a request. */
+  public void recordChosen(ServerLoad load, long nowMs) {
+    places(load.server().service()).recordChosen(nowMs);
+  }
+
   /** Returns the demand at this entry, for each service that has some. */
   public List<ServiceDemand> ownDemands(long nowMs) {
     List<ServiceDemand> demands = new ArrayList<>();
@@ -94,7 +99,7 @@
    */
   public void recordRejection(ServerLoad load, RejectionCause cause, long sentAtMs, long nowMs) {
     if (cause.limitsRoom()) {
-      limitOf(load).recordRejection(sentAtMs, group.maxAgeMs(), nowMs);
+      limitOf(load).recordRejection(cause, sentAtMs, group.maxAgeMs(), nowMs);
     }
   }
 
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/room/ServicePlaces.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/room/ServicePlaces.java
@@ -16,10 +16,16 @@
    * Part of the places that is shared equally. An entry whose others claim all demand, truly or
    * not, can still send.
    */
-  private static final double EQUAL_PART = 0.1;
+  private static final double EQUAL_PART = 0.2;
+
+  /**
+   * Time after the last send from which one request may be sent whatever the others claim. Without
+   * it a peer that claims all places would keep the service from being used.
+   */
+  private static final long TRIAL_PERIOD_MS = 500;
 
   /** Equal shares that an entry may use while it does not know what the others do. */
-  private static final int SHARES_WHILE_DEAF = 2;
+  private static final int SHARES_WHILE_DEAF = 8;
 
   private static final double MS_PER_S = 1_000;
 
@@ -31,6 +37,7 @@
   private final StaleLoadSpread spread = new StaleLoadSpread();
   private List<ServerLoad> servers = List.of();
   private long othersArrivals;
+  private long lastChosenMs = Long.MIN_VALUE;
   private double rounding;
   private long roundingDrawnMs = Long.MIN_VALUE;
 
@@ -53,6 +60,10 @@
     spread.recordFreed(load, nowMs);
   }
 
+  void recordChosen(long nowMs) {
+    lastChosenMs = nowMs;
+  }
+
   void recordArrival(long nowMs) {
     arrivals.record(nowMs);
   }
@@ -133,7 +144,8 @@
     int byShare = (int) (use.places() * share + rounding) - use.own();
     // A negative number of free places takes back what was lent too much.
     int lent = (int) Math.floor((use.free() + raised) * share + rounding) - raised;
-    return Math.max(0, Math.max(byShare, lent));
+    boolean trial = lastChosenMs == Long.MIN_VALUE || nowMs - lastChosenMs >= TRIAL_PERIOD_MS;
+    return Math.max(trial ? 1 : 0, Math.max(byShare, lent));
   }
 
   private double share(GroupState group, long nowMs) {
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/exchange/ExchangeSimulation.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/exchange/ExchangeSimulation.java
@@ -3,6 +3,7 @@
 import io.samphiregauge.schema.peer.BackendLoad;
 import io.samphiregauge.schema.peer.BackendLoads;
 import io.samphiregauge.schema.peer.CachedPrompt;
+import io.samphiregauge.schema.peer.ServiceDemand;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -14,6 +15,7 @@
 /** Entries that exchange loads in virtual time; each one has one running request at server 1. */
 final class ExchangeSimulation {
   private static final long DELAY_MS = 4;
+  private static final int SERVICE = 7;
 
   private final List<LoadExchange> exchanges = new ArrayList<>();
   private final List<LoadExchange.Peer> members = new ArrayList<>();
@@ -97,6 +99,17 @@
     ownPrompts.get(entry).add(prompt);
   }
 
+  void setOwnDemand(int entry, int requests) {
+    exchanges.get(entry).setOwnDemands(List.of(new ServiceDemand(SERVICE, requests)));
+  }
+
+  /** Returns the demand of all other entries for the service, as far as an entry knows. */
+  int knownDemand(int entry) {
+    return exchanges.get(entry).otherEntriesDemands(nowMs).stream()
+        .mapToInt(ServiceDemand::getRequests)
+        .sum();
+  }
+
   /** Stops an entry from sending and receiving, or lets it go on. */
   void setSilent(int entry, boolean value) {
     silent.set(entry, value);
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/exchange/LoadExchangeTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/exchange/LoadExchangeTest.java
@@ -120,4 +120,21 @@
       assertThat(group.receivedPrompts(entry)).hasSizeLessThanOrEqualTo(4);
     }
   }
+
+  /** Guards against shares of services by a demand that is seconds old or of lost entries. */
+  @ParameterizedTest
+  @CsvSource({"8,4", "95,6"})
+  void demandIsKnownEverywhereAndExpires(int entries, int domains) {
+    ExchangeSimulation group = new ExchangeSimulation(entries, domains, 0, 5);
+    for (int entry = 0; entry < entries; entry++) {
+      group.setOwnDemand(entry, 2);
+    }
+    group.run(MAX_AGE_MS);
+    for (int entry = 0; entry < entries; entry++) {
+      assertThat(group.knownDemand(entry)).as("entry %d", entry).isEqualTo(2 * (entries - 1));
+    }
+    group.setSilent(entries - 1, true);
+    group.run(SETTLE_MS);
+    assertThat(group.knownDemand(0)).isEqualTo(2 * (entries - 2));
+  }
 }
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/room/RoomReplay.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/room/RoomReplay.java
@@ -7,6 +7,7 @@
 import io.samphiregauge.core.dispatch.ServerLoad;
 import io.samphiregauge.core.exchange.LoadExchange;
 import io.samphiregauge.schema.peer.BackendLoad;
+import io.samphiregauge.schema.peer.BackendLoads;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -18,6 +19,7 @@
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import java.util.function.DoubleUnaryOperator;
+import java.util.function.UnaryOperator;
 
 /**
  * Replays the arrivals of one service through the decisions of many entries, whose loads travel by
@@ -37,7 +39,7 @@
   private final PriorityQueue<Event> events =
       new PriorityQueue<>(Comparator.comparingLong(Event::atMs).thenComparingLong(Event::number));
   private final SplittableRandom random;
-  private final boolean sharing;
+  private final Mode mode;
   private long eventCount;
   long nowMs;
   long sends;
@@ -47,11 +49,21 @@
   double busySlotMs;
   double busyWantedMs;
 
+  /** What the entries do with the account. */
+  enum Mode {
+    /** Nothing, as before it existed. */
+    UNUSED,
+    /** They only choose servers by it. */
+    SPREADING,
+    /** They also hold requests back while they have no free place. */
+    HOLDING
+  }
+
   private record Event(long atMs, long number, Runnable action) {}
 
   /** Creates entries and servers, evenly over the failure domains. */
-  RoomReplay(int entryCount, int serverCount, int slots, int queue, boolean sharing, long seed) {
-    this.sharing = sharing;
+  RoomReplay(int entryCount, int serverCount, int slots, int queue, Mode mode, long seed) {
+    this.mode = mode;
     this.random = new SplittableRandom(seed);
     for (int i = 0; i < entryCount; i++) {
       String domain = "d" + i * 3 / entryCount;
@@ -119,6 +131,15 @@
     return (double) rejections / arrivals;
   }
 
+  /** Begins to count anew. */
+  void resetCounts() {
+    arrivals = 0;
+    rejections = 0;
+    heldWithRoom = 0;
+    busySlotMs = 0;
+    busyWantedMs = 0;
+  }
+
   final class Server {
     final String id;
     final int slots;
@@ -126,6 +147,8 @@
     int inFlight;
     boolean up = true;
     boolean rejectsAll;
+    double slowness = 1;
+    long received;
     private final Deque<Runnable> waiting = new ArrayDeque<>();
 
     Server(int index, int slots, int queue) {
@@ -141,6 +164,7 @@
     }
 
     void receive(Runnable onEnd, Runnable onRejected) {
+      received++;
       if (rejectsAll || inFlight >= slots + queue) {
         rejections++;
         at(LINK_MS, onRejected);
@@ -150,7 +174,8 @@
       Runnable work =
           () ->
               at(
-                  Math.max(1, (long) (-Math.log(1 - random.nextDouble()) * MEAN_WORK_MS)),
+                  Math.max(
+                      1, (long) (-Math.log(1 - random.nextDouble()) * MEAN_WORK_MS * slowness)),
                   () -> end(onEnd));
       if (inFlight <= slots) {
         work.run();
@@ -175,10 +200,11 @@
     final ServerChooser chooser;
     boolean deaf;
     boolean mute;
-    private final int index;
+    boolean killed;
+    long messageDelayMs = LINK_MS;
+    UnaryOperator<BackendLoads> claims = UnaryOperator.identity();
 
     Entry(int index) {
-      this.index = index;
       LoadExchange.Peer self = peers.get(index);
       exchange = new LoadExchange(self.vm(), self.domain());
       chooser = new ServerChooser(self.domain(), Sampling.randomSubset(self.domain(), source));
@@ -210,9 +236,9 @@
                       .forEach(
                           other ->
                               at(
-                                  LINK_MS,
+                                  messageDelayMs,
                                   () -> {
-                                    other.exchange.receive(outgoing.message(), nowMs);
+                                    other.exchange.receive(claims.apply(outgoing.message()), nowMs);
                                     at(40, other::applyLoads);
                                   })));
       applyLoads();
@@ -238,6 +264,10 @@
     }
 
     void onArrival() {
+      if (killed) {
+        entries.get(random.nextInt(entries.size())).onArrival();
+        return;
+      }
       arrivals++;
       ledger.recordArrival(SERVICE, nowMs);
       held.addLast(nowMs);
@@ -251,8 +281,11 @@
     }
 
     private void sendHeld() {
+      if (killed) {
+        return;
+      }
       held.removeIf(arrivedMs -> arrivedMs < nowMs - PATIENCE_MS);
-      while (!held.isEmpty() && (!sharing || ledger.freePlaces(SERVICE, nowMs) > 0)) {
+      while (!held.isEmpty() && (mode != Mode.HOLDING || ledger.freePlaces(SERVICE, nowMs) > 0)) {
         held.removeFirst();
         send();
       }
@@ -262,11 +295,12 @@
       List<ServerLoad> all = List.copyOf(loads.values());
       ServerLoad load =
           chooser
-              .chooseServer(sharing ? ledger.narrow(SERVICE, all, nowMs) : all, nowMs)
+              .chooseServer(mode == Mode.UNUSED ? all : ledger.narrow(SERVICE, all, nowMs), nowMs)
               .orElseThrow();
       long sentAtMs = nowMs;
       sends++;
       load.recordSent(0);
+      ledger.recordChosen(load, nowMs);
       Server server =
           servers.stream().filter(s -> s.id.equals(load.server().id())).findFirst().get();
       at(
@@ -290,8 +324,12 @@
       ledger.recordRejection(load, cause, sentAtMs, nowMs);
     }
 
-    int index() {
-      return index;
+    /** Ends the process; its requests run on at the servers, and nobody waits for them. */
+    void kill() {
+      killed = true;
+      mute = true;
+      deaf = true;
+      held.clear();
     }
   }
 }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RoomAccount.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RoomAccount.java
@@ -65,6 +65,7 @@
 
   /** Records that a server is chosen for a request. */
   void onChosen(ServerLoad load) {
+    ledger.recordChosen(load, DualTimestamp.monotonicNowMs());
     context.metrics().increment("sends." + load.server().service());
   }
 
