Count servers in the known use of a service, and find limits by the key of a server

Without a server that is expected to accept requests nothing is known of room, so the choice of the server decides as before. Limits are found without building the name of each incarnation for each request.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/room/ServicePlaces.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/room/ServicePlaces.java
@@ -31,7 +31,9 @@
 
   private record Sample(long atMs, int own) {}
 
-  private final Map<String, PlaceLimit> limits = new HashMap<>();
+  /** By the key of the server's incarnation. */
+  private final Map<Integer, PlaceLimit> limits = new HashMap<>();
+
   private final ArrivalCounter arrivals = new ArrivalCounter();
   private final Deque<Sample> ownSamples = new ArrayDeque<>();
   private final StaleLoadSpread spread = new StaleLoadSpread();
@@ -44,15 +46,11 @@
   /** Replaces the servers. */
   void update(List<ServerLoad> announced) {
     servers = announced;
-    limits.keySet().retainAll(announced.stream().map(ServicePlaces::incarnation).toList());
+    limits.keySet().retainAll(announced.stream().map(ServerLoad::key).toList());
   }
 
   PlaceLimit limitOf(ServerLoad load) {
-    return limits.computeIfAbsent(incarnation(load), name -> new PlaceLimit(load.server().slots()));
-  }
-
-  private static String incarnation(ServerLoad load) {
-    return load.server().incarnation();
+    return limits.computeIfAbsent(load.key(), key -> new PlaceLimit(load.server().slots()));
   }
 
   void recordAccepted(ServerLoad load, long sentAtMs, long nowMs) {
@@ -98,6 +96,7 @@
 
   /** Sums up the servers that generate responses and are expected to accept requests. */
   ServiceUse use(Predicate<ServerLoad> usable, long nowMs) {
+    int counted = 0;
     int places = 0;
     int used = 0;
     int own = 0;
@@ -105,12 +104,13 @@
       if (load.server().prefillOnly() || load.isAvoided(nowMs) || !usable.test(load)) {
         continue;
       }
+      counted++;
       PlaceLimit limit = limitOf(load);
       places += limit.isPaused(nowMs) ? Math.min(limit.places(), used(load)) : limit.places();
       used += used(load);
       own += load.inFlight();
     }
-    return new ServiceUse(places, used, own);
+    return new ServiceUse(counted, places, used, own);
   }
 
   /** Returns the known requests of a server; those of others are never negative. */
@@ -128,6 +128,10 @@
    * age of known loads.
    */
   int freePlaces(ServiceUse use, GroupState group, long nowMs) {
+    if (use.servers() == 0) {
+      // Nothing is known of room; the choice of the server decides whether the request is refused.
+      return Integer.MAX_VALUE;
+    }
     if (group.entries() <= 1) {
       return Math.max(0, use.free());
     }
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/room/ServiceUse.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/room/ServiceUse.java
@@ -3,11 +3,12 @@
 /**
  * The places of a service that an entry counts on, and their use.
  *
+ * @param servers number of servers that are expected to accept requests
  * @param places requests that the servers take at once
  * @param used known requests of all entries at these servers
  * @param own requests of this entry at these servers
  */
-public record ServiceUse(int places, int used, int own) {
+public record ServiceUse(int servers, int places, int used, int own) {
   /** Returns the known free places, which may be negative after a rush. */
   public int free() {
     return places - used;
@@ -15,7 +16,7 @@
 
   /** Returns whether the service is known to be full. */
   public boolean isFull() {
-    return used >= places;
+    return servers > 0 && used >= places;
   }
 
   /**
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RoomAccount.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RoomAccount.java
@@ -47,7 +47,7 @@
   /**
    * Returns whether places are shared: in a small group the known loads are too fresh for a rush.
    */
-  private boolean isActive() {
+  boolean isActive() {
     return enabled && context.areLoadsStale();
   }
 
@@ -100,7 +100,9 @@
     GroupState group =
         new GroupState(entries, exchange.hearsOthers(nowMs), LoadExchange.maxAgeMs(entries));
     ledger.recordExchange(exchange.otherEntriesDemands(nowMs), group, nowMs);
-    ledger.services().forEach(service -> report(service, ledger.use(service, nowMs), group));
+    if (enabled) {
+      ledger.services().forEach(service -> report(service, ledger.use(service, nowMs), group));
+    }
   }
 
   private void report(String service, ServiceUse use, GroupState group) {
