--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
@@ -53,7 +53,8 @@
   private final HttpConnectionPool connectionPool;
   private final PooledHttpClient httpClient;
   private final ServerChooser chooser;
-  private final ServerLoadTable serverLoads = new ServerLoadTable();
+  private final RoomAccount room;
+  private final ServerLoadTable serverLoads;
   private final ServerNoticeRecorder serverNotices = new ServerNoticeRecorder(this);
   private final HeldRequests heldRequests = new HeldRequests();
   private final CachedPromptBuffer cachedPrompts = new CachedPromptBuffer();
@@ -84,6 +85,8 @@
     this.decisionLog = decisionLog;
     this.connectionPool = new HttpConnectionPool(eventLoop, CONNECT_TIMEOUT_MS, CloseMode.GRACEFUL);
     this.httpClient = new PooledHttpClient(eventLoop);
+    this.room = new RoomAccount(this, settings.getServiceRoom().orElse(false));
+    this.serverLoads = new ServerLoadTable(room);
     this.crashDetector = new CrashDetector(this, callbacks.onServerCrash());
     this.quotaGate = new QuotaGate(this, settings);
     Sampling randomSubset = Sampling.randomSubset(settings.getFailureDomain(), random);
@@ -119,7 +122,7 @@
   }
 
   /** Returns whether the group is so large that the loads of other entries are stale. */
-  private boolean areLoadsStale() {
+  boolean areLoadsStale() {
     return LoadExchange.maxAgeMs(viewSupplier.get().members().size()) > MAX_LOAD_AGE_MS;
   }
 
@@ -142,6 +145,10 @@
     return serverLoads;
   }
 
+  RoomAccount room() {
+    return room;
+  }
+
   ServerNoticeRecorder serverNotices() {
     return serverNotices;
   }
@@ -184,8 +191,9 @@
     return viewSupplier.get().config().flatMap(config -> config.engineSpec(service));
   }
 
-  /** Records a request in the retry budget of its service. */
+  /** Records a request in the retry budget and the demand of its service. */
   void recordRequest(String service) {
+    room.onArrival(service);
     retryBudget(service).recordRequest(DualTimestamp.monotonicNowMs());
   }
 
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/GatewayMetrics.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/GatewayMetrics.java
@@ -25,21 +25,19 @@
     registry.counter(name).inc(amount);
   }
 
+  long count(String name) {
+    return registry.counter(name).getCount();
+  }
+
   /** Sets a value that is shown as it was set last. */
   void setGauge(String name, long value) {
-    gauges
-        .computeIfAbsent(
-            name,
-            key -> {
-              AtomicLong created = new AtomicLong();
-              registry.gauge(key, () -> created::get);
-              return created;
-            })
-        .set(value);
+    gauges.computeIfAbsent(name, this::registerGauge).set(value);
   }
 
-  long count(String name) {
-    return registry.counter(name).getCount();
+  private AtomicLong registerGauge(String name) {
+    AtomicLong value = new AtomicLong();
+    registry.gauge(name, () -> value::get);
+    return value;
   }
 
   void recordDurationMs(String name, long durationMs) {
