Let work leave its failure domain as a flow that pays for its bytes

Cause: ServerChooser priced another failure domain at a constant 6 ms, whatever the wait, the bytes of the request or the price of the link. Result: existing tests of core.dispatch and core.exchange pass; nothing is measured yet.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/EngineRates.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/EngineRates.java
@@ -61,6 +61,11 @@
         * load.slowness();
   }
 
+  /** Returns the time in which an engine computes tokens of a prompt, in milliseconds. */
+  double computeMs(ServerLoad load, int tokens) {
+    return tokens * estimateFor(load).msPerToken() * load.slowness();
+  }
+
   /** Returns the delay that the queued prompts of an engine cause, in milliseconds. */
   double queueMs(ServerLoad load) {
     return load.totalPromptTokens() * estimateFor(load).msPerToken() * load.slowness();
@@ -95,6 +100,15 @@
     return Math.max(0, load.totalInFlight() + 1 - slots) * runMs / slots;
   }
 
+  /**
+   * Returns the expected wait of a request before the engine starts it, in milliseconds.
+   *
+   * @param load the engine
+   */
+  public double waitMs(ServerLoad load) {
+    return queueMs(load) + (load.server().prefillOnly() ? 0 : slotWaitMs(load));
+  }
+
   /** Returns the transfer time between two engines of a failure domain, in milliseconds. */
   double fetchMs(int tokens) {
     return tokens * fetchMsPerToken;
@@ -109,7 +123,7 @@
    */
   public void recordPrefill(ServerLoad load, double tokens, double tookMs) {
     LatencyEstimate estimate = estimateFor(load);
-    load.recordSpeed(tookMs / Math.max(1, estimate.expectedMs(tokens)));
+    load.recordSpeed(tookMs, estimate.expectedMs(tokens));
     estimate.record(tokens, tookMs);
   }
 
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerChooser.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerChooser.java
@@ -3,9 +3,11 @@
 import io.samphiregauge.core.RendezvousHash;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.function.ToDoubleFunction;
+import java.util.stream.Collectors;
 
 /**
  * Chooses the server of a request: among the servers that a {@link Sampling} selects, the one with
@@ -13,9 +15,6 @@
  * avoided. Immutable.
  */
 public final class ServerChooser {
-  /** Cost of crossing failure domains: additional network latency and paid traffic. */
-  private static final double CROSS_DOMAIN_COST_MS = 6;
-
   /** Cost of a failed request; weighted by the failure rate of the server. */
   private static final double FAILURE_COST_MS = 400;
 
@@ -34,18 +33,40 @@
   /** Fixed cost of a fetch from another engine's cache: startup latency and transfer overhead. */
   private static final double FETCH_START_MS = 15;
 
+  /** Time that the caller of a stream loses with it: it has to start again. */
+  private static final double LOST_RUN_MS = 5_000;
+
+  /** Assumed part of the runs on reclaimable engines that are lost with their failure domain. */
+  private static final double RECLAIM_PROBABILITY = 0.02;
+
+  /** Assumed part of the runs on other engines that are lost with their failure domain. */
+  private static final double LOSS_PROBABILITY = 0.002;
+
   private final String domain;
   private final Sampling sampling;
+  private final Crossing crossing;
 
   /**
-   * Creates a chooser for one entry.
+   * Creates a chooser for one entry whose requests may use all failure domains.
    *
    * @param domain failure domain of the entry
    * @param sampling selects the servers that are compared
    */
   public ServerChooser(String domain, Sampling sampling) {
+    this(domain, sampling, Crossing.atConstantCost());
+  }
+
+  /**
+   * Creates a chooser for one request.
+   *
+   * @param domain failure domain of the entry
+   * @param sampling selects the servers that are compared
+   * @param crossing which other failure domains the request may use, and at what cost
+   */
+  public ServerChooser(String domain, Sampling sampling, Crossing crossing) {
     this.domain = domain;
     this.sampling = sampling;
+    this.crossing = crossing;
   }
 
   /**
@@ -79,10 +100,12 @@
    * @return the server, or empty without candidates
    */
   public Optional<ServerLoad> chooseServer(List<ServerLoad> servers, long nowMs) {
-    return lowestCost(
-        sampling.candidates(servers, nowMs),
-        nowMs,
-        load -> (load.totalInFlight() + 1) * load.latencyMs() + baseCost(load, domain));
+    return notifyChosen(
+        lowestCost(
+            sampling.candidates(crossing.permitted().apply(servers), nowMs),
+            nowMs,
+            load -> (load.totalInFlight() + 1) * load.latencyMs() + baseCost(load)),
+        load -> load);
   }
 
   /**
@@ -96,19 +119,26 @@
    */
   public Optional<PromptPlan> planPrefill(
       Prompt prompt, List<ServerLoad> servers, EngineRates rates, long nowMs) {
+    List<ServerLoad> permitted = crossing.permitted().apply(servers);
     boolean canGenerate = servers.stream().anyMatch(load -> !load.server().prefillOnly());
     if (!canGenerate) {
       return Optional.empty();
     }
     CacheDirectory directory = CacheDirectory.of(prompt, servers, nowMs);
     Optional<ServerLoad> preferred =
-        directory.isEmpty() ? preferredEngine(prompt, servers) : Optional.empty();
-    List<ServerLoad> candidates = new ArrayList<>(sampling.candidates(servers, nowMs));
+        directory.isEmpty() ? preferredEngine(prompt, permitted) : Optional.empty();
+    List<ServerLoad> candidates = new ArrayList<>(sampling.candidates(permitted, nowMs));
     preferred.filter(load -> !candidates.contains(load)).ifPresent(candidates::add);
     List<PromptPlan> plans =
         candidates.stream().map(load -> plan(prompt, load, directory, rates)).toList();
-    return lowestCost(
-        plans, PromptPlan::server, nowMs, plan -> prefillCost(prompt, plan, preferred));
+    return notifyChosen(
+        lowestCost(plans, PromptPlan::server, nowMs, plan -> prefillCost(prompt, plan, preferred)),
+        PromptPlan::server);
+  }
+
+  private <T> Optional<T> notifyChosen(Optional<T> chosen, Function<T, ServerLoad> server) {
+    chosen.map(server).ifPresent(crossing.onChosen());
+    return chosen;
   }
 
   /**
@@ -124,10 +154,13 @@
         load -> load.server().id());
   }
 
-  private static PromptPlan plan(
+  private PromptPlan plan(
       Prompt prompt, ServerLoad load, CacheDirectory directory, EngineRates rates) {
     int localTokens = load.prefixCache().cachedTokens(prompt);
-    Optional<CacheDirectory.Holder> source = directory.sourceFor(load, localTokens);
+    Optional<CacheDirectory.Holder> source =
+        directory
+            .sourceFor(load, localTokens)
+            .filter(holder -> isFetchWorthwhile(holder, load, localTokens, rates));
     int cachedTokens = source.map(CacheDirectory.Holder::tokens).orElse(localTokens);
     int uncachedTokens = prompt.tokens() - cachedTokens;
     int fetchedTokens = cachedTokens - localTokens;
@@ -150,18 +183,34 @@
         preferred.filter(engine -> !engine.equals(load)).isPresent()
             ? prompt.sharedTokens() * AFFINITY_MISS_MS_PER_TOKEN
             : 0;
-    return plan.firstTokenMs() + plan.interferenceMs() + affinityMissMs + baseCost(load, domain);
+    return plan.firstTokenMs() + plan.interferenceMs() + affinityMissMs + baseCost(load);
   }
 
-  private static double fetchMs(
-      ServerLoad source, ServerLoad target, int tokens, EngineRates rates) {
-    double linkFactor = source.server().domain().equals(target.server().domain()) ? 1 : 2;
-    return FETCH_START_MS + rates.fetchMs(tokens) * linkFactor;
+  private static boolean areInOneDomain(ServerLoad first, ServerLoad second) {
+    return first.server().domain().equals(second.server().domain());
+  }
+
+  private double fetchMs(ServerLoad source, ServerLoad target, int tokens, EngineRates rates) {
+    if (areInOneDomain(source, target)) {
+      return FETCH_START_MS + rates.fetchMs(tokens);
+    }
+    double costMs = crossing.priced() ? crossing.kvMs().applyAsDouble(tokens) : 0;
+    return FETCH_START_MS + rates.fetchMs(tokens) * 2 + costMs;
+  }
+
+  /** Returns whether a fetch from another domain costs less than computing the tokens again. */
+  private boolean isFetchWorthwhile(
+      CacheDirectory.Holder holder, ServerLoad target, int localTokens, EngineRates rates) {
+    int tokens = holder.tokens() - localTokens;
+    return !crossing.priced()
+        || areInOneDomain(holder.load(), target)
+        || fetchMs(holder.load(), target, tokens, rates) < rates.computeMs(target, tokens);
   }
 
   /**
    * Chooses the engine that generates the response to a prompt that another engine has prefilled.
    *
+   * @param prompt the prompt
    * @param servers the candidates
    * @param sourceDomain failure domain of the engine that holds the KV cache
    * @param rates rates of the service's engines
@@ -169,49 +218,76 @@
    * @return the engine, or empty if no candidate can generate
    */
   public Optional<ServerLoad> chooseDecodeEngine(
-      List<ServerLoad> servers, String sourceDomain, EngineRates rates, long nowMs) {
+      Prompt prompt, List<ServerLoad> servers, String sourceDomain, EngineRates rates, long nowMs) {
     List<ServerLoad> engines =
         servers.stream().filter(load -> !load.server().prefillOnly()).toList();
-    return lowestCost(
-        sampling.candidates(engines, nowMs),
-        nowMs,
-        load ->
-            load.totalInFlight() * RUNNING_REQUEST_MS
-                + rates.queueMs(load)
-                + rates.slotWaitMs(load)
-                + baseCost(load, sourceDomain));
+    List<ServerLoad> permitted = crossing.permitted().apply(engines);
+    List<ServerLoad> usable =
+        engines.stream()
+            .filter(load -> permitted.contains(load) || load.server().domain().equals(sourceDomain))
+            .toList();
+    return notifyChosen(
+        lowestCost(
+            sampling.candidates(usable, nowMs),
+            nowMs,
+            load ->
+                load.totalInFlight() * RUNNING_REQUEST_MS
+                    + rates.queueMs(load)
+                    + rates.slotWaitMs(load)
+                    + handoverCost(load, sourceDomain, prompt.tokens())
+                    + failureCost(load)),
+        load -> load);
+  }
+
+  private double handoverCost(ServerLoad load, String sourceDomain, int tokens) {
+    String target = load.server().domain();
+    double kvMs = target.equals(sourceDomain) ? 0 : crossing.kvMs().applyAsDouble(tokens);
+    double requestMs =
+        target.equals(domain) || !crossing.priced()
+            ? 0
+            : crossing.requestMs().applyAsDouble(target);
+    return kvMs + requestMs;
   }
 
   /**
    * Chooses the engine that keeps a copy of the KV cache of a run, so that the run can continue if
    * its engine is lost. A failure domain is reclaimed as a whole, so the copy is kept in another
-   * one where possible. The copies of many runs are spread evenly.
+   * one where possible, unless its bytes cost more than what it is expected to save. The copies of
+   * many runs are spread evenly.
    *
+   * @param prompt the prompt of the run
    * @param servers the engines of the service
    * @param runner the engine that runs the request
    * @param runId identifier of the run
    * @param nowMs monotonic time in milliseconds
    * @return the engine, or empty if no other engine can generate
    */
-  public static Optional<ServerLoad> chooseBackup(
-      List<ServerLoad> servers, ServerLoad runner, String runId, long nowMs) {
+  public Optional<ServerLoad> chooseBackup(
+      Prompt prompt, List<ServerLoad> servers, ServerLoad runner, String runId, long nowMs) {
     List<ServerLoad> engines =
         servers.stream()
             .filter(load -> !load.equals(runner))
             .filter(load -> !load.server().prefillOnly() && !load.isAvoided(nowMs))
             .toList();
-    List<ServerLoad> outside =
-        engines.stream()
-            .filter(load -> !load.server().domain().equals(runner.server().domain()))
-            .toList();
+    Map<Boolean, List<ServerLoad>> byInside =
+        engines.stream().collect(Collectors.partitioningBy(load -> areInOneDomain(load, runner)));
+    double savedMs =
+        LOST_RUN_MS * (runner.server().reclaimable() ? RECLAIM_PROBABILITY : LOSS_PROBABILITY);
+    boolean outsidePays =
+        !crossing.priced() || crossing.kvMs().applyAsDouble(prompt.tokens()) <= savedMs;
+    List<ServerLoad> first = byInside.get(!outsidePays);
     return RendezvousHash.select(
-        runId, outside.isEmpty() ? engines : outside, load -> load.server().id());
+        runId, first.isEmpty() ? byInside.get(outsidePays) : first, load -> load.server().id());
+  }
+
+  private static double failureCost(ServerLoad load) {
+    return load.failureRate() * FAILURE_COST_MS;
   }
 
-  private static double baseCost(ServerLoad load, String preferredDomain) {
-    double crossDomainMs =
-        load.server().domain().equals(preferredDomain) ? 0 : CROSS_DOMAIN_COST_MS;
-    return crossDomainMs + load.failureRate() * FAILURE_COST_MS;
+  private double baseCost(ServerLoad load) {
+    String target = load.server().domain();
+    return failureCost(load)
+        + (target.equals(domain) ? 0 : crossing.requestMs().applyAsDouble(target));
   }
 
   private static Optional<ServerLoad> lowestCost(
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerLoad.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerLoad.java
@@ -36,6 +36,10 @@
   private int consecutiveFailures;
   private long avoidUntilMs = Long.MIN_VALUE;
   private boolean unreachable;
+  private final boolean engine;
+  private int newResponses;
+  private int newFailures;
+  private double newExcessMs;
 
   /**
    * Creates the load of a server without any requests.
@@ -48,9 +52,39 @@
     this.server = server;
     this.key = TextHash.crc32c(server.incarnation());
     this.prefixCache = new PrefixCacheModel(engineTokens);
+    this.engine = engineTokens > 0;
     this.latencyMs = expectedMs;
   }
 
+  /**
+   * What was seen of a server since the last call of {@link #takeObservations}.
+   *
+   * @param responses number of responses whose time is known
+   * @param failures number of failed requests
+   * @param excessMs sum of the times of the responses, in milliseconds; for an engine only the part
+   *     beyond what was expected of its service
+   */
+  public record Observations(int responses, int failures, double excessMs) {}
+
+  /** Returns what was seen since the last call. */
+  public Observations takeObservations() {
+    Observations taken = new Observations(newResponses, newFailures, newExcessMs);
+    newResponses = 0;
+    newFailures = 0;
+    newExcessMs = 0;
+    return taken;
+  }
+
+  private void observe(double excessMs) {
+    newResponses++;
+    newExcessMs += excessMs;
+  }
+
+  /** Returns whether the server is a model engine. */
+  public boolean isEngine() {
+    return engine;
+  }
+
   /** Returns the server as last announced. */
   public BackendServer server() {
     return server;
@@ -127,17 +161,30 @@
   /**
    * Records how fast the server was. Follows the median, between one half and four.
    *
-   * @param ratio time that it took, relative to what its service was expected to take
+   * @param tookMs time that it took, in milliseconds
+   * @param expectedMs time that its service was expected to take, in milliseconds
    */
-  void recordSpeed(double ratio) {
+  void recordSpeed(double tookMs, double expectedMs) {
+    observe(tookMs - expectedMs);
+    double ratio = tookMs / Math.max(1, expectedMs);
     double step = 1 + SLOWNESS_STEP * Math.signum(ratio - slowness);
     slowness = Math.max(MIN_SLOWNESS, Math.min(MAX_SLOWNESS, slowness * step));
   }
 
   /** Returns the expected latency of one more request, with its wait for a slot. */
   public double expectedMs() {
+    return latencyMs + slotWaitMs(latencyMs);
+  }
+
+  /**
+   * Returns the expected wait of one more request for a slot.
+   *
+   * @param requestMs time for which a request takes a slot, in milliseconds
+   * @return the wait in milliseconds; 0 while slots are free
+   */
+  public double slotWaitMs(double requestMs) {
     int slots = Math.max(1, server.slots());
-    return latencyMs * (1 + (double) Math.max(0, totalInFlight() + 1 - slots) / slots);
+    return requestMs * Math.max(0, totalInFlight() + 1 - slots) / slots;
   }
 
   /** Returns the smoothed fraction of failed requests, from 0 to 1. */
@@ -175,6 +222,9 @@
    * @param responseMs time from sending the request to the start of the response
    */
   public void recordResponse(long responseMs) {
+    if (!engine) {
+      observe((double) responseMs);
+    }
     latencyMs += LATENCY_WEIGHT * (responseMs - latencyMs);
     failureRate -= FAILURE_WEIGHT * failureRate;
     consecutiveFailures = 0;
@@ -188,6 +238,7 @@
    * @param nowMs monotonic time in milliseconds
    */
   public void recordFailure(long nowMs) {
+    newFailures++;
     failureRate += FAILURE_WEIGHT * (1 - failureRate);
     consecutiveFailures++;
     if (consecutiveFailures >= FAILURES_UNTIL_AVOIDED) {
@@ -201,6 +252,7 @@
    * @param nowMs monotonic time in milliseconds
    */
   public void recordConnectFailure(long nowMs) {
+    newFailures++;
     unreachable = true;
     consecutiveFailures = Math.max(consecutiveFailures + 1, FAILURES_UNTIL_AVOIDED);
     avoid(nowMs);
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/exchange/LoadExchange.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/exchange/LoadExchange.java
@@ -9,6 +9,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 /**
@@ -60,6 +62,7 @@
   private final List<CachedPrompt> promptsForDomains = new ArrayList<>();
   private final List<CachedPrompt> promptsForEntries = new ArrayList<>();
   private long firstHeadHeardMs = Long.MIN_VALUE;
+  private Set<String> otherDomains = Set.of();
   private boolean tree;
   private boolean head;
 
@@ -129,6 +132,7 @@
     expire(nowMs);
     lastOwnLoads = ownLoads;
     List<Peer> others = members.stream().filter(peer -> !peer.vm().equals(vm)).toList();
+    otherDomains = others.stream().map(Peer::domain).collect(Collectors.toSet());
     tree = others.size() >= MAX_MESH_ENTRIES;
     BackendLoads own = new BackendLoads(vm, domain, LoadScope.ENTRY, ownLoads, ownPrompts);
     if (!tree) {
@@ -237,6 +241,29 @@
         tree ? Stream.concat(received(entryLoads), received(domainLoads)) : received(entryLoads));
   }
 
+  /**
+   * Returns the time since the loads that the entries of a failure domain cause were last heard.
+   *
+   * @param name the failure domain
+   * @param nowMs monotonic time in milliseconds
+   * @return the age in milliseconds; 0 if the domain has no other entries, and {@link
+   *     Long#MAX_VALUE} if its loads are unknown
+   */
+  public long ageMs(String name, long nowMs) {
+    if (!otherDomains.contains(name)) {
+      return 0;
+    }
+    if (tree && !head) {
+      return fleetLoads.map(received -> nowMs - received.receivedAtMs()).orElse(Long.MAX_VALUE);
+    }
+    return (tree ? domainLoads : entryLoads)
+        .values().stream()
+            .filter(received -> received.message().getDomain().equals(name))
+            .mapToLong(received -> nowMs - received.receivedAtMs())
+            .min()
+            .orElse(Long.MAX_VALUE);
+  }
+
   /** Removes the part of this entry, as last sent, from the sum of all entries. */
   private List<BackendLoad> subtractOwn(BackendLoads fleet) {
     Map<Integer, BackendLoad> own = new HashMap<>();
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/dispatch/ServerChooserTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/dispatch/ServerChooserTest.java
@@ -160,7 +160,8 @@
   void returnsEmptyWithoutADecodeEngine() {
     List<ServerLoad> engines = List.of(server("p", "a", Optional.of(EngineStage.PREFILL)));
     assertThat(chooser.planPrefill(prompt("part", 100, 10), engines, RATES, NOW_MS)).isEmpty();
-    assertThat(chooser.chooseDecodeEngine(engines, "a", RATES, NOW_MS)).isEmpty();
+    assertThat(chooser.chooseDecodeEngine(prompt("part", 100, 10), engines, "a", RATES, NOW_MS))
+        .isEmpty();
   }
 
   /** Guards against requests to a server right after a failed connection attempt. */
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/AttemptPlanner.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/AttemptPlanner.java
@@ -58,7 +58,7 @@
   Result<ForwardAttempt> next(long nowMs) {
     List<ServerLoad> candidates =
         context.serverLoads().candidates(request.service(), triedServers, nowMs);
-    ServerChooser chooser = context.chooser();
+    ServerChooser chooser = context.chooser(request);
     if (request.prompt().isEmpty()) {
       return chooser
           .chooseServer(candidates, nowMs)
@@ -71,8 +71,10 @@
       // The prompt is prefilled already, so the request is not refused any more.
       KvSource source = kvCache.source().orElseThrow();
       return chooser
-          .chooseDecodeEngine(candidates, source.server().domain(), rates, nowMs)
-          .map(load -> ForwardAttempt.fromKvCache(load, source, backupFor(load, nowMs)))
+          .chooseDecodeEngine(prompt, candidates, source.server().domain(), rates, nowMs)
+          .map(
+              load ->
+                  ForwardAttempt.fromKvCache(load, source, backupFor(chooser, prompt, load, nowMs)))
           .map(Result::success)
           .orElseGet(() -> noServer(nowMs));
     }
@@ -87,7 +89,9 @@
                 admit(
                     plan.firstTokenMs(),
                     nowMs,
-                    () -> ForwardAttempt.fromPlan(plan, backupFor(plan.server(), nowMs))))
+                    () ->
+                        ForwardAttempt.fromPlan(
+                            plan, backupFor(chooser, prompt, plan.server(), nowMs))))
         .orElseGet(() -> noServer(nowMs));
   }
 
@@ -127,7 +131,8 @@
    * Chooses the engine that keeps a copy of the KV cache of a run. Only streams that must not run
    * again need one: without it they are lost with their engine.
    */
-  private Optional<ServerLoad> backupFor(ServerLoad runner, long nowMs) {
+  private Optional<ServerLoad> backupFor(
+      ServerChooser chooser, Prompt prompt, ServerLoad runner, long nowMs) {
     boolean copied =
         context.engineSpec(request.service()).filter(EngineSpec::keepsBackups).isPresent();
     if (!copied
@@ -135,7 +140,8 @@
         || request.meta().attemptId().isEmpty()) {
       return Optional.empty();
     }
-    return ServerChooser.chooseBackup(
+    return chooser.chooseBackup(
+        prompt,
         context.serverLoads().candidates(request.service(), Set.of(), nowMs),
         runner,
         request.attemptId(),
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
@@ -52,7 +52,8 @@
   private final DecisionLogWriter decisionLog;
   private final HttpConnectionPool connectionPool;
   private final PooledHttpClient httpClient;
-  private final ServerChooser chooser;
+  private final Sampling sampling;
+  private final DomainTraffic domainTraffic;
   private final ServerLoadTable serverLoads = new ServerLoadTable();
   private final ServerNoticeRecorder serverNotices = new ServerNoticeRecorder(this);
   private final HeldRequests heldRequests = new HeldRequests();
@@ -85,11 +86,10 @@
     this.httpClient = new PooledHttpClient(eventLoop);
     this.crashDetector = new CrashDetector(this, callbacks.onServerCrash());
     Sampling randomSubset = Sampling.randomSubset(settings.getFailureDomain(), random);
-    this.chooser =
-        new ServerChooser(
-            settings.getFailureDomain(),
-            (servers, nowMs) ->
-                (areLoadsStale() ? randomSubset : Sampling.all()).candidates(servers, nowMs));
+    this.sampling =
+        (servers, nowMs) ->
+            (areLoadsStale() ? randomSubset : Sampling.all()).candidates(servers, nowMs);
+    this.domainTraffic = new DomainTraffic(this, settings);
   }
 
   Dialect dialect() {
@@ -154,8 +154,14 @@
     cachedPrompts.add(load, prompt);
   }
 
-  ServerChooser chooser() {
-    return chooser;
+  /** Returns what chooses the server of the next attempt of a request. */
+  ServerChooser chooser(RoutedRequest request) {
+    return new ServerChooser(
+        settings.getFailureDomain(), sampling, domainTraffic.crossing(request));
+  }
+
+  DomainTraffic domainTraffic() {
+    return domainTraffic;
   }
 
   RandomSource random() {
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/GatewayMetrics.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/GatewayMetrics.java
@@ -1,5 +1,6 @@
 package io.samphiregauge.gateway.traffic;
 
+import com.codahale.metrics.DefaultSettableGauge;
 import com.codahale.metrics.MetricRegistry;
 import java.util.concurrent.TimeUnit;
 
@@ -16,6 +17,15 @@
     registry.counter(name).inc();
   }
 
+  void add(String name, long count) {
+    registry.counter(name).inc(count);
+  }
+
+  /** Sets a value that may also fall. */
+  void set(String name, long value) {
+    registry.gauge(name, () -> new DefaultSettableGauge<>(0L)).setValue(value);
+  }
+
   void recordDurationMs(String name, long durationMs) {
     registry.timer(name).update(durationMs, TimeUnit.MILLISECONDS);
   }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/PeerLoadExchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/PeerLoadExchange.java
@@ -31,6 +31,9 @@
     this.context = context;
     this.transport = transport;
     this.exchange = new LoadExchange(self.vm(), self.domain());
+    context
+        .domainTraffic()
+        .setLoadAge(domain -> exchange.ageMs(domain, DualTimestamp.monotonicNowMs()));
   }
 
   /** Sends the first message and schedules the next ones. */
