Bound flows between domains by the spare capacity of the other domain

Cause: in the replay of demand by failure domain, flows followed bursts that alternate every 2.8 s (up to 7 turns in 28 s), and a third domain waited 616 ms. Change: a flow grows only while nobody waits in the other domain and the difference does not end by itself; requests use less of it while others wait there; a busy domain sheds it only after a burst. Result: FlowReplayTest, DomainFlowsTest and ServiceSpillTest pass.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerChooser.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerChooser.java
@@ -104,10 +104,17 @@
         lowestCost(
             sampling.candidates(crossing.permitted().apply(servers), nowMs),
             nowMs,
-            load -> (load.totalInFlight() + 1) * load.latencyMs() + baseCost(load)),
+            load -> plainCost(load) + baseCost(load)),
         load -> load);
   }
 
+  /** Where leaving a domain is priced, only waits count: requests in free slots cost nothing. */
+  private double plainCost(ServerLoad load) {
+    return crossing.priced()
+        ? load.expectedMs() + load.totalInFlight() * RUNNING_REQUEST_MS
+        : (load.totalInFlight() + 1) * load.latencyMs();
+  }
+
   /**
    * Chooses the engine that prefills a prompt, and whether that engine also generates the response.
    *
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/exchange/LoadExchange.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/exchange/LoadExchange.java
@@ -242,7 +242,7 @@
   }
 
   /**
-   * Returns the time since the loads that the entries of a failure domain cause were last heard.
+   * Returns the age that the known loads of the entries of a failure domain can have.
    *
    * @param name the failure domain
    * @param nowMs monotonic time in milliseconds
@@ -254,12 +254,14 @@
       return 0;
     }
     if (tree && !head) {
-      return fleetLoads.map(received -> nowMs - received.receivedAtMs()).orElse(Long.MAX_VALUE);
+      return fleetLoads
+          .map(received -> nowMs - received.receivedAtMs() + (TREE_HOPS - 1) * TREE_PERIOD_MS)
+          .orElse(Long.MAX_VALUE);
     }
     return (tree ? domainLoads : entryLoads)
         .values().stream()
             .filter(received -> received.message().getDomain().equals(name))
-            .mapToLong(received -> nowMs - received.receivedAtMs())
+            .mapToLong(received -> nowMs - received.receivedAtMs() + (tree ? TREE_PERIOD_MS : 0))
             .min()
             .orElse(Long.MAX_VALUE);
   }
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/spill/DomainFlows.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/spill/DomainFlows.java
@@ -38,18 +38,32 @@
    */
   static final long HOLD_MS = 6_000;
 
-  /** Age above which nothing is sent: a message of each of the three hops was lost. */
-  static final long MAX_AGE_MS = 1_000;
+  /** Age above which nothing is sent: two messages in a row were lost on the way of three hops. */
+  static final long MAX_AGE_MS = 1_250;
 
   /** Error of the known wait for each millisecond of its age; bursts nearly double the demand. */
   private static final double ERROR_PER_AGE_MS = 0.1;
 
   /** Time in which a difference of the waits is to be worked off. */
-  private static final double HORIZON_MS = 1_000;
+  private static final double HORIZON_MS = 2_000;
 
-  /** Utilization from which a domain takes no more from others. */
+  /** Utilization above which a domain whose requests wait has no room for those of others. */
   private static final double FULL = 0.9;
 
+  /** Wait of a full domain that its own callers notice: half of a short request's objective. */
+  private static final double NOTICED_WAIT_MS = 125;
+
+  /** A flow that ends the difference of the waits within this time is large enough. */
+  private static final double CLOSING_MS = 4_000;
+
+  /** Part by which a flow shrinks in a step. */
+  private static final double SHRINK = 0.25;
+
+  /**
+   * Time for which a domain is full before flows to it shrink: longer than an alternating burst.
+   */
+  private static final long FULL_MS = 3_000;
+
   private static final long MIN_STEP_PERIOD_MS = 300;
 
   /** Time in which a request that was sent shows in the loads, besides the age of the loads. */
@@ -61,9 +75,22 @@
   /** The state of the flow to one domain. */
   private static final class Flow {
     private double share;
+    private double openPart;
     private double lastGainMs;
+    private long lastLookMs;
+    private long notFullAtMs;
+    private long waitSeenAtMs = Long.MIN_VALUE / 2;
     private long lastStepMs = Long.MIN_VALUE / 2;
     private long lastGainAtMs = Long.MIN_VALUE / 2;
+
+    /** Returns the time in which the gain will have ended if it goes on as since the last look. */
+    private double closingMs(double gainMs, long nowMs) {
+      double fallen = lastGainMs - gainMs;
+      double closing = fallen > 0 ? gainMs * (nowMs - lastLookMs) / fallen : Double.MAX_VALUE;
+      lastGainMs = gainMs;
+      lastLookMs = nowMs;
+      return closing;
+    }
   }
 
   /**
@@ -80,6 +107,16 @@
     return Optional.ofNullable(flows.get(other)).map(flow -> flow.share).orElse(0.0);
   }
 
+  /**
+   * Returns the part of the work that may go to another domain now. It is less than the flow while
+   * requests wait there, because a domain whose requests wait has little spare capacity.
+   */
+  public double openShare(String other) {
+    return Optional.ofNullable(flows.get(other))
+        .map(flow -> flow.share * flow.openPart)
+        .orElse(0.0);
+  }
+
   private double totalShare() {
     return flows.values().stream().mapToDouble(flow -> flow.share).sum();
   }
@@ -108,6 +145,7 @@
               .findFirst()
               .orElseGet(() -> emptyDomain(entry.getKey()));
       double before = flow.share;
+      flow.openPart = empty ? 1 : Math.max(0, 1 - other.waitMs() / (2 * NOTICED_WAIT_MS));
       Optional<Cause> cause =
           empty
               ? leave(flow, other, others, nowMs)
@@ -176,17 +214,21 @@
     if (situation.nowMs() - flow.lastStepMs < periodMs) {
       return Optional.empty();
     }
-    double lastGainMs = flow.lastGainMs;
-    flow.lastGainMs = gainMs;
-    boolean harmful = other.waitMs() > own.waitMs() + RAISE_MS;
-    if (harmful || situation.nowMs() - flow.lastGainAtMs > HOLD_MS) {
+    double closingMs = flow.closingMs(gainMs, situation.nowMs());
+    if (other.utilization() <= FULL || other.waitMs() <= NOTICED_WAIT_MS) {
+      flow.notFullAtMs = situation.nowMs();
+    }
+    boolean full = gainMs > 0 && situation.nowMs() - flow.notFullAtMs > FULL_MS;
+    if (full || situation.nowMs() - flow.lastGainAtMs > HOLD_MS) {
       flow.lastStepMs = situation.nowMs();
-      flow.share = flow.share <= MAX_STEP ? 0 : flow.share - MAX_STEP;
-      return Optional.of(harmful ? Cause.OTHER_IS_BUSIER : Cause.NO_LONGER_PAYS);
+      flow.share = full ? flow.share * (1 - SHRINK) : Math.max(0, flow.share - MAX_STEP);
+      return Optional.of(full ? Cause.OTHER_IS_FULL : Cause.NO_LONGER_PAYS);
+    }
+    if (other.waitMs() > RAISE_MS) {
+      flow.waitSeenAtMs = situation.nowMs();
     }
-    // While the difference shrinks, the flow is large enough.
-    boolean shrinking = flow.share > 0 && gainMs < lastGainMs;
-    if (gainMs <= RAISE_MS || shrinking) {
+    boolean spare = situation.nowMs() - flow.waitSeenAtMs > FULL_MS;
+    if (!spare || gainMs <= RAISE_MS || (flow.share > 0 && closingMs < CLOSING_MS)) {
       return Optional.empty();
     }
     flow.lastStepMs = situation.nowMs();
@@ -207,7 +249,7 @@
             .filter(load -> gainMs(load, other, situation.crossingMs()) > 0)
             .mapToInt(DomainLoad::servers)
             .sum();
-    double spare = Math.max(0, FULL - other.utilization()) * other.servers();
+    double spare = Math.max(0, 1 - other.utilization()) * other.servers();
     double fairShare = spare / 2 / Math.max(own.servers(), senderServers);
     double backlogMs = gainMs / (1.0 / own.servers() + 1.0 / other.servers());
     double wanted = Math.max(MIN_STEP, backlogMs / (own.servers() * HORIZON_MS));
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/spill/FlowChange.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/spill/FlowChange.java
@@ -32,8 +32,8 @@
     PAYS,
     /** Leaving has not paid for a while. */
     NO_LONGER_PAYS,
-    /** Requests wait longer in the other domain. */
-    OTHER_IS_BUSIER,
+    /** The other domain has no spare capacity, and its own requests wait. */
+    OTHER_IS_FULL,
     /** The other domain has no server that can be used. */
     NO_SERVERS,
     /** Most servers of the other domain do not respond. */
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/spill/ServiceSpill.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/spill/ServiceSpill.java
@@ -161,7 +161,8 @@
     usualBytes += AVERAGE_WEIGHT * (request.bodyBytes() - usualBytes);
     usualWork += AVERAGE_WEIGHT * (request.work() - usualWork);
     double most = Math.max(request.work(), MAX_BURST * usualWork);
-    credits.replaceAll((name, credit) -> Math.min(most, credit + share(name) * request.work()));
+    credits.replaceAll(
+        (name, credit) -> Math.min(most, credit + flows.openShare(name) * request.work()));
     return new Crossing(
         servers -> permitted(servers, request.work(), nowMs),
         name -> HOP_MS + cost.requestMs(request.bodyBytes()) + links.extraMs(name),
@@ -207,6 +208,6 @@
       return true;
     }
     double credit = credits.computeIfAbsent(name, unknown -> 0.0);
-    return share(name) > 0 && credit >= work;
+    return flows.openShare(name) > 0 && credit >= work;
   }
 }
