--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/spill/DomainFlows.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/spill/DomainFlows.java
@@ -41,8 +41,8 @@
   /** Age above which nothing is sent: two messages in a row were lost on the way of three hops. */
   static final long MAX_AGE_MS = 1_250;
 
-  /** Error of the known wait for each millisecond of its age; bursts nearly double the demand. */
-  private static final double ERROR_PER_AGE_MS = 0.1;
+  /** Cost of each millisecond of age; the figures err by more, but the steps are bounded. */
+  private static final double ERROR_PER_AGE_MS = 0.03;
 
   /** Time in which a difference of the waits is to be worked off. */
   private static final double HORIZON_MS = 2_000;
@@ -219,10 +219,12 @@
       flow.notFullAtMs = situation.nowMs();
     }
     boolean full = gainMs > 0 && situation.nowMs() - flow.notFullAtMs > FULL_MS;
-    if (full || situation.nowMs() - flow.lastGainAtMs > HOLD_MS) {
+    boolean badLink = other.linkMs() > Math.max(RAISE_MS, own.waitMs());
+    if (full || badLink || situation.nowMs() - flow.lastGainAtMs > HOLD_MS) {
       flow.lastStepMs = situation.nowMs();
       flow.share = full ? flow.share * (1 - SHRINK) : Math.max(0, flow.share - MAX_STEP);
-      return Optional.of(full ? Cause.OTHER_IS_FULL : Cause.NO_LONGER_PAYS);
+      Cause ended = badLink ? Cause.BAD_LINK : Cause.NO_LONGER_PAYS;
+      return Optional.of(full ? Cause.OTHER_IS_FULL : ended);
     }
     if (other.waitMs() > RAISE_MS) {
       flow.waitSeenAtMs = situation.nowMs();
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/spill/FlowChange.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/spill/FlowChange.java
@@ -32,6 +32,8 @@
     PAYS,
     /** Leaving has not paid for a while. */
     NO_LONGER_PAYS,
+    /** The delay and failures of the link cost more than the wait here. */
+    BAD_LINK,
     /** The other domain has no spare capacity, and its own requests wait. */
     OTHER_IS_FULL,
     /** The other domain has no server that can be used. */
