--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/GatewayMetrics.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/GatewayMetrics.java
@@ -1,15 +1,12 @@
 package io.samphiregauge.gateway.traffic;
 
+import com.codahale.metrics.DefaultSettableGauge;
 import com.codahale.metrics.MetricRegistry;
-import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 
 /** Holds the counters and latencies of an entry. Thread-safe. */
 public final class GatewayMetrics {
   private final MetricRegistry registry = new MetricRegistry();
-  private final Map<String, AtomicLong> gauges = new ConcurrentHashMap<>();
 
   /** Returns the registry that contains all metrics, for export. */
   public MetricRegistry registry() {
@@ -31,13 +28,7 @@
 
   /** Sets a value that is shown as it was set last. */
   void setGauge(String name, long value) {
-    gauges.computeIfAbsent(name, this::registerGauge).set(value);
-  }
-
-  private AtomicLong registerGauge(String name) {
-    AtomicLong value = new AtomicLong();
-    registry.gauge(name, () -> value::get);
-    return value;
+    registry.gauge(name, () -> new DefaultSettableGauge<>(0L)).setValue(value);
   }
 
   void recordDurationMs(String name, long durationMs) {
