Let a team vary within the tolerance of its quota

The bucket now holds three eighths of the allowed excess besides the burst; the parts of the bound still add up to the excess, and the property test holds.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/quota/QuotaBucket.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/quota/QuotaBucket.java
@@ -7,14 +7,16 @@
 final class QuotaBucket {
   private static final double MS_PER_S = 1_000;
 
-  /** Above this part of the burst, credit is also lent for requests that are still to come. */
+  /** Above this part of the depth, credit is also lent for requests that are still to come. */
   private static final double AHEAD_PART = 0.5;
 
   /** A longer time to return tells nothing more, since callers have left by then. */
   private static final double MAX_RETRY_MS = 30_000;
 
-  private final double maxDebt;
   private final TeamQuota quota;
+  private final QuotaTolerance tolerance;
+  private final double depth;
+  private final double maxDebt;
   private double level;
   private double promised;
   private long refilledAtMs;
@@ -23,12 +25,14 @@
    * Creates a bucket.
    *
    * @param quota quota of the team
-   * @param maxDebt how far more may be lent than has accrued
+   * @param tolerance how far it may be exceeded
    * @param sinceMs time since which credit accrues, from none; monotonic, in milliseconds
    */
-  QuotaBucket(TeamQuota quota, double maxDebt, long sinceMs) {
+  QuotaBucket(TeamQuota quota, QuotaTolerance tolerance, long sinceMs) {
     this.quota = quota;
-    this.maxDebt = maxDebt;
+    this.tolerance = tolerance;
+    this.depth = tolerance.depth(quota);
+    this.maxDebt = tolerance.maxDebt(quota);
     this.refilledAtMs = sinceMs;
   }
 
@@ -44,7 +48,7 @@
   /** Replaces the level by that of the previous lender. */
   void setLevel(double newLevel, long nowMs) {
     refill(nowMs);
-    level = Math.min(newLevel, quota.burst());
+    level = Math.min(newLevel, depth);
   }
 
   /**
@@ -73,7 +77,7 @@
       double retryMs = (backlog + denied) / quota.ratePerS() * MS_PER_S;
       return new LentCredit(lent, (long) Math.min(MAX_RETRY_MS, Math.max(1, retryMs)));
     }
-    double spare = level - AHEAD_PART * quota.burst();
+    double spare = level - AHEAD_PART * depth;
     long lentAhead = (long) Math.max(0, Math.min((double) ahead, spare));
     level -= lentAhead;
     return new LentCredit(lent + lentAhead, 0);
@@ -94,17 +98,17 @@
     }
     refilledAtMs = nowMs;
     double accrued = quota.ratePerS() * elapsedMs / MS_PER_S;
-    level = Math.min(quota.burst(), level + accrued);
+    level = Math.min(depth, level + accrued);
     promised = Math.max(0, promised - accrued);
   }
 
-  /** Adopts another quota; more than its burst is lost. */
-  QuotaBucket withQuota(TeamQuota newQuota, double newMaxDebt, long nowMs) {
+  /** Adopts another quota; more than its depth is lost. */
+  QuotaBucket withQuota(TeamQuota newQuota, long nowMs) {
     refill(nowMs);
-    QuotaBucket changed = new QuotaBucket(newQuota, newMaxDebt, nowMs);
-    changed.level = newQuota.unit() == quota.unit() ? Math.min(level, newQuota.burst()) : 0;
+    QuotaBucket changed = new QuotaBucket(newQuota, tolerance, nowMs);
+    double kept = newQuota.unit() == quota.unit() ? Math.min(level, changed.depth) : 0;
     // Debt from before the change would keep a lowered quota shut for long.
-    changed.level = Math.max(changed.level, -newMaxDebt);
+    changed.level = Math.max(kept, -changed.maxDebt);
     return changed;
   }
 }
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/quota/QuotaLender.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/quota/QuotaLender.java
@@ -60,13 +60,12 @@
   }
 
   private QuotaBucket bucket(String team, TeamQuota quota, long sinceMs, long nowMs) {
-    double maxDebt = tolerance.maxDebt(quota);
     QuotaBucket bucket =
-        buckets.computeIfAbsent(team, name -> new QuotaBucket(quota, maxDebt, sinceMs));
+        buckets.computeIfAbsent(team, name -> new QuotaBucket(quota, tolerance, sinceMs));
     if (bucket.quota().equals(quota)) {
       return bucket;
     }
-    QuotaBucket changed = bucket.withQuota(quota, maxDebt, nowMs);
+    QuotaBucket changed = bucket.withQuota(quota, nowMs);
     buckets.put(team, changed);
     return changed;
   }
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/quota/QuotaTolerance.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/quota/QuotaTolerance.java
@@ -3,19 +3,20 @@
 import io.samphiregauge.core.site.TeamQuota;
 
 /**
- * How far a team may exceed its quota in a window, and how that is divided. The parts add up to at
- * most the whole: half for credit that was lent before the window, a quarter for entries that their
- * lender does not answer, an eighth for debt of the lender, and an eighth in reserve for requests
- * between the entry and the server.
+ * How far a team may exceed its quota in a window, and how that is divided. The parts add up to the
+ * whole: three eighths let the team itself vary, a quarter is for credit that was lent before the
+ * window, an eighth for entries that their lender does not answer, a sixteenth for debt of the
+ * lender, and three sixteenths for requests between their admission and the server.
  *
  * @param windowMs length of the window, in milliseconds
  * @param overage part of the quota by which it may be exceeded
  * @param slack units by which it may be exceeded besides
  */
 public record QuotaTolerance(long windowMs, double overage, long slack) {
-  private static final double CREDIT_PART = 1.0 / 2;
-  private static final double SILENCE_PART = 1.0 / 4;
-  private static final double DEBT_PART = 1.0 / 8;
+  private static final double DEPTH_PART = 3.0 / 8;
+  private static final double CREDIT_PART = 1.0 / 4;
+  private static final double SILENCE_PART = 1.0 / 8;
+  private static final double DEBT_PART = 1.0 / 16;
 
   /** A shorter life would not outlast the way of a grant between two entries. */
   private static final long MIN_CREDIT_LIFE_MS = 100;
@@ -35,6 +36,14 @@
     return overage * windowQuota(quota) + slack;
   }
 
+  /**
+   * Returns how much credit accrues at most. More than the burst, so that a team is not refused
+   * while it is below what the operators check.
+   */
+  double depth(TeamQuota quota) {
+    return quota.burst() + DEPTH_PART * excess(quota);
+  }
+
   /** Returns for how long an entry may use credit after it has asked for it. */
   long creditLifeMs(TeamQuota quota) {
     double lifeMs = CREDIT_PART * excess(quota) / quota.ratePerS() * MS_PER_S;
