--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerChooser.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerChooser.java
@@ -267,7 +267,7 @@
    * @param runner the engine that runs the request
    * @param runId identifier of the run
    * @param nowMs monotonic time in milliseconds
-   * @return the engine, or empty if no other engine can generate
+   * @return the engine, or empty if none can generate or is worth its bytes
    */
   public Optional<ServerLoad> chooseBackup(
       Prompt prompt, List<ServerLoad> servers, ServerLoad runner, String runId, long nowMs) {
@@ -282,9 +282,11 @@
         LOST_RUN_MS * (runner.server().reclaimable() ? RECLAIM_PROBABILITY : LOSS_PROBABILITY);
     boolean outsidePays =
         !crossing.priced() || crossing.kvMs().applyAsDouble(prompt.tokens()) <= savedMs;
-    List<ServerLoad> first = byInside.get(!outsidePays);
+    List<ServerLoad> outside = byInside.get(false);
     return RendezvousHash.select(
-        runId, first.isEmpty() ? byInside.get(outsidePays) : first, load -> load.server().id());
+        runId,
+        outsidePays && !outside.isEmpty() ? outside : byInside.get(true),
+        load -> load.server().id());
   }
 
   private static double failureCost(ServerLoad load) {
