Decide which requests wait for a full service, in which order, and when refused ones return

AdmissionPolicy looks at one request and the best server, so requests had no order by urgency, team, size or objective, no place to wait but that for paused servers, and a time to return that ignored who else had been told to return then.

core.queue decides these: ServiceQueue with its order, forecasts, floors and a calendar of returns.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/admit/Refusal.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/admit/Refusal.java
@@ -51,9 +51,12 @@
    * @param retryAfterMs delay after which the queues are expected to be short enough
    */
   record Overloaded(long expectedMs, long patienceMs, long retryAfterMs) implements Refusal {
+    /** Machine-readable type of this refusal. */
+    public static final String TYPE = "overloaded";
+
     @Override
     public String type() {
-      return "overloaded";
+      return TYPE;
     }
 
     @Override
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/site/SiteConfig.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/site/SiteConfig.java
@@ -78,6 +78,32 @@
     return Optional.ofNullable(services.get(service)).flatMap(ServiceSpec::engine);
   }
 
+  /**
+   * Returns whether routes with different urgency compete for one service: a route with a higher
+   * priority also has a shorter objective than another route of the service.
+   */
+  public boolean hasCompetingRoutes() {
+    Map<String, List<SiteRoute>> byService = new HashMap<>();
+    for (List<SiteRoute> routes : routesByHost.values()) {
+      for (SiteRoute route : routes) {
+        for (ServiceShare share : route.shares()) {
+          byService.computeIfAbsent(share.service(), name -> new ArrayList<>()).add(route);
+        }
+      }
+    }
+    return byService.values().stream().anyMatch(SiteConfig::compete);
+  }
+
+  private static boolean compete(List<SiteRoute> routes) {
+    return routes.stream()
+        .anyMatch(urgent -> routes.stream().anyMatch(other -> goesBefore(urgent, other)));
+  }
+
+  private static boolean goesBefore(SiteRoute urgent, SiteRoute other) {
+    return urgent.priority() < other.priority()
+        && urgent.targetLatencyMs() < other.targetLatencyMs();
+  }
+
   /** Returns whether requests need a key on routes without public access. */
   public boolean requiresKeys() {
     return teamsByKey.isPresent();
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/MetricsPage.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/MetricsPage.java
@@ -32,6 +32,9 @@
     registry
         .getCounters()
         .forEach((name, counter) -> appendLine(text, name + "_total", counter.getCount()));
+    registry
+        .getGauges()
+        .forEach((name, gauge) -> appendLine(text, name, (Number) gauge.getValue()));
     registry
         .getTimers()
         .forEach(
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
@@ -56,6 +56,8 @@
   private final ServerLoadTable serverLoads = new ServerLoadTable();
   private final ServerNoticeRecorder serverNotices = new ServerNoticeRecorder(this);
   private final HeldRequests heldRequests = new HeldRequests();
+  private final WaitingRoom waitingRoom =
+      new WaitingRoom(this, new SlotRoom(serverLoads, this::areLoadsStale));
   private final CachedPromptBuffer cachedPrompts = new CachedPromptBuffer();
   private final CrashDetector crashDetector;
   private final BufferBudget bufferBudget = new BufferBudget();
@@ -144,6 +146,10 @@
     return heldRequests;
   }
 
+  WaitingRoom waitingRoom() {
+    return waitingRoom;
+  }
+
   CachedPromptBuffer cachedPrompts() {
     return cachedPrompts;
   }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/PeerLoadExchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/PeerLoadExchange.java
@@ -103,5 +103,6 @@
           others.map(BackendLoad::getRunning).orElse(0),
           others.map(BackendLoad::getPromptTokens).orElse(0L));
     }
+    context.waitingRoom().onRoomChanged();
   }
 }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RequestHold.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RequestHold.java
@@ -2,12 +2,17 @@
 
 import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.admit.WaitPolicy;
+import io.samphiregauge.core.queue.QueueDecision;
+import io.samphiregauge.core.queue.QueuedRequest;
+import io.samphiregauge.core.site.SiteConfig;
+import java.util.Optional;
+import java.util.function.Consumer;
 
 /**
- * Holds one request while every server that could serve it has asked for a pause, if the first
- * pause ends soon enough. Confined to one event loop.
+ * The waits of one request before it is sent: in the {@link WaitingRoom} while its service is full,
+ * and while every server that could serve it has asked for a pause. Confined to one event loop.
  */
-final class RequestHold {
+final class RequestHold implements QueuedCaller {
   /** Expected time of a response after the pause; the load of a server is then unknown. */
   private static final long MIN_RESPONSE_MS = 20;
 
@@ -15,6 +20,9 @@
   private final RoutedRequest request;
   private final RequestDecisionLog log;
   private final Runnable resume;
+  private final Consumer<ErrorResponse> refuse;
+  private Optional<QueuedRequest> queued = Optional.empty();
+  private boolean waiting;
 
   /**
    * Creates the hold of a request that is not held.
@@ -22,14 +30,93 @@
    * @param context state of the event loop
    * @param request the request
    * @param log log of the request
-   * @param resume makes the request look for a server again
+   * @param resume makes the request look for a server
+   * @param refuse ends the request with an error
    */
   RequestHold(
-      EventLoopContext context, RoutedRequest request, RequestDecisionLog log, Runnable resume) {
+      EventLoopContext context,
+      RoutedRequest request,
+      RequestDecisionLog log,
+      Runnable resume,
+      Consumer<ErrorResponse> refuse) {
     this.context = context;
     this.request = request;
     this.log = log;
     this.resume = resume;
+    this.refuse = refuse;
+  }
+
+  /**
+   * Lets a request that has arrived look for a server, at once or when it is its turn.
+   *
+   * @param givesUpAtMs monotonic time in milliseconds at which the caller gives up
+   */
+  void enter(long givesUpAtMs) {
+    if (!context.waitingRoom().isEnabled()) {
+      resume.run();
+      return;
+    }
+    QueuedRequest entering = context.waitingRoom().describe(request, givesUpAtMs);
+    queued = Optional.of(entering);
+    context.waitingRoom().offer(entering, this);
+  }
+
+  @Override
+  public void onWait(QueueDecision.Wait decision) {
+    waiting = true;
+    context.metrics().increment("waits");
+    log.add(
+        "wait_begun",
+        "place=%d forecast_ms=%d".formatted(decision.place(), decision.forecastMs()));
+  }
+
+  @Override
+  public void onSend(QueueDecision.Send decision) {
+    logWaitEnd(decision.reason(), decision.waitedMs());
+    resume.run();
+  }
+
+  @Override
+  public void onRefuse(QueueDecision.Refuse decision) {
+    String type = decision.reason().type();
+    logWaitEnd(type, decision.waitedMs());
+    logReturn(decision.forecastMs(), decision.returnAfterMs());
+    refuse.accept(
+        ErrorResponse.notRun(
+            type, "The service has no room for the request in time.", decision.returnAfterMs()));
+  }
+
+  @Override
+  public void onConfigChange(SiteConfig config) {
+    if (RequestRouter.allows(config, request) || !end()) {
+      return;
+    }
+    refuse.accept(
+        ErrorResponse.notRun(
+            "route_changed", "The configuration has changed while the request waited.", 0));
+  }
+
+  private void logWaitEnd(String reason, long waitedMs) {
+    if (waiting) {
+      waiting = false;
+      context.metrics().recordDurationMs("wait", waitedMs);
+      log.add("wait_ended", "cause=%s waited_ms=%d".formatted(reason, waitedMs));
+    }
+  }
+
+  /** Replaces the delay of a refusal for lack of room by the time that the calendar has free. */
+  ErrorResponse withReturnTime(ErrorResponse error) {
+    if (queued.isEmpty()) {
+      return error;
+    }
+    long forecastMs = error.retryAfterMs();
+    long returnAfterMs = context.waitingRoom().returnAfterMs(queued.orElseThrow(), forecastMs);
+    logReturn(forecastMs, returnAfterMs);
+    return ErrorResponse.notRun(error.type(), error.message(), returnAfterMs);
+  }
+
+  private void logReturn(long forecastMs, long returnAfterMs) {
+    log.add("return_told", "forecast_ms=%d after_ms=%d".formatted(forecastMs, returnAfterMs));
   }
 
   /**
@@ -54,13 +141,26 @@
   }
 
   private void resumeByTimer() {
-    if (end()) {
+    if (context.heldRequests().remove(request.service(), resume)) {
       resume.run();
     }
   }
 
-  /** Ends the hold; returns whether the request was held. */
+  /**
+   * Ends the waits of a request that has ended, whose place at a server is free now.
+   *
+   * @return whether the request was waiting for a place
+   */
   boolean end() {
-    return context.heldRequests().remove(request.service(), resume);
+    context.heldRequests().remove(request.service(), resume);
+    boolean ended =
+        queued
+            .filter(known -> context.waitingRoom().remove(request.service(), known.work().number()))
+            .isPresent();
+    if (ended) {
+      logWaitEnd("ended", DualTimestamp.monotonicNowMs() - request.arrivedAt().monotonicMs());
+    }
+    context.waitingRoom().onRoomChanged();
+    return ended;
   }
 }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RequestRouter.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RequestRouter.java
@@ -89,6 +89,27 @@
             arrivedAtMs + timeoutMs));
   }
 
+  /**
+   * Returns whether a configuration still allows a request that was routed by an earlier one.
+   *
+   * @param config the configuration
+   * @param request the request
+   */
+  static boolean allows(SiteConfig config, RoutedRequest request) {
+    String host = request.httpRequest().headers().get(HttpHeaderNames.HOST, "");
+    boolean routed =
+        config
+            .findRoute(host, pathOf(request.httpRequest().uri()))
+            .filter(
+                route ->
+                    route.shares().stream()
+                        .anyMatch(share -> share.service().equals(request.service())))
+            .isPresent();
+    return routed
+        && (request.team().isEmpty()
+            || request.meta().teamKey().flatMap(config::findTeam).isPresent());
+  }
+
   /** Returns whether the view is recent enough to accept the keys that it contains. */
   boolean areKeysCurrent(GatewayView view, DualTimestamp now) {
     return now.millisSince(view.configAsOf()) <= revocationMs.getAsLong();
