Let requests wait in front of a full service

WaitingRoom carries out what the queues of core.queue decide, and RequestHold is the wait of one request. Refusals for lack of room carry the time of the calendar. It is on where routes of different urgency compete for a service by the configuration; until the account of core.room exists, free slots stand in for it in groups whose loads are fresh.

--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ErrorResponse.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ErrorResponse.java
@@ -1,5 +1,6 @@
 package io.samphiregauge.gateway.traffic;
 
+import io.samphiregauge.core.admit.Refusal;
 import io.samphiregauge.core.result.Failure;
 
 /**
@@ -12,6 +13,7 @@
  */
 record ErrorResponse(int status, String type, String message, long retryAfterMs)
     implements Failure {
+  private static final String SERVER_FULL = "server_full";
   private static final int BAD_GATEWAY = 502;
   private static final int UNAVAILABLE = 503;
   private static final int GATEWAY_TIMEOUT = 504;
@@ -21,6 +23,16 @@
     return new ErrorResponse(UNAVAILABLE, type, message, retryAfterMs);
   }
 
+  /** Returns a 503: the server that was chosen has rejected the request. */
+  static ErrorResponse serverFull(long retryAfterMs) {
+    return notRun(SERVER_FULL, "The server rejected the request.", retryAfterMs);
+  }
+
+  /** Returns whether the servers lack room; a refused caller then waits for its turn to return. */
+  boolean isLackOfRoom() {
+    return type.equals(SERVER_FULL) || type.equals(Refusal.Overloaded.TYPE);
+  }
+
   /** Returns a 502: the request may have run. */
   static ErrorResponse outcomeUnknown(String type, String message) {
     return new ErrorResponse(BAD_GATEWAY, type, message, 0);
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
@@ -56,8 +56,7 @@
   private final ServerLoadTable serverLoads = new ServerLoadTable();
   private final ServerNoticeRecorder serverNotices = new ServerNoticeRecorder(this);
   private final HeldRequests heldRequests = new HeldRequests();
-  private final WaitingRoom waitingRoom =
-      new WaitingRoom(this, new SlotRoom(serverLoads, this::areLoadsStale));
+  private final WaitingRoom waitingRoom;
   private final CachedPromptBuffer cachedPrompts = new CachedPromptBuffer();
   private final CrashDetector crashDetector;
   private final BufferBudget bufferBudget = new BufferBudget();
@@ -85,6 +84,13 @@
     this.decisionLog = decisionLog;
     this.connectionPool = new HttpConnectionPool(eventLoop, CONNECT_TIMEOUT_MS, CloseMode.GRACEFUL);
     this.httpClient = new PooledHttpClient(eventLoop);
+    this.waitingRoom =
+        new WaitingRoom(
+            () -> view().config(),
+            new SlotRoom(serverLoads, this::areLoadsStale),
+            DualTimestamp::monotonicNowMs,
+            (task, delayMs) -> schedule(delayMs, task),
+            metrics);
     this.crashDetector = new CrashDetector(this, callbacks.onServerCrash());
     Sampling randomSubset = Sampling.randomSubset(settings.getFailureDomain(), random);
     this.chooser =
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ProxyExchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ProxyExchange.java
@@ -66,7 +66,7 @@
     this.log = new RequestDecisionLog(context, request);
     this.crashGuard = new CrashGuard(context, request, log);
     this.recorder = new AttemptRecorder(context, request, log, crashGuard);
-    this.hold = new RequestHold(context, request, log, this::tryNextServer);
+    this.hold = new RequestHold(context, request, log, this::tryNextServer, this::fail);
     this.writer = new CallerResponseWriter(caller, request.route().kind().isStream());
   }
 
@@ -74,7 +74,7 @@
     context.recordRequest(request.service());
     long waitMs = request.deadlineAtMs() - DualTimestamp.monotonicNowMs() + DEADLINE_GRACE_MS;
     context.schedule(Math.max(0, waitMs), this::onDeadline);
-    tryNextServer();
+    hold.enter(planner.givesUpAtMs());
   }
 
   /** Pauses or resumes reading from the server, to match the speed of the caller. */
@@ -377,7 +377,7 @@
     if (!continued && tryAcquireRetry()) {
       tryNextServer();
     } else {
-      fail(ErrorResponse.notRun("server_full", "The server rejected the request.", RETRY_MS));
+      fail(ErrorResponse.serverFull(RETRY_MS));
     }
   }
 
@@ -458,8 +458,9 @@
 
   /** Ends the request with an error, or with the failure response of an earlier attempt. */
   private void fail(ErrorResponse error) {
-    boolean inProgress =
-        attempt.filter(a -> a.isSent() && !a.ended() && !a.prefillOnly()).isPresent();
+    boolean mayHaveRun =
+        outcomeUnknown
+            || attempt.filter(a -> a.isSent() && !a.ended() && !a.prefillOnly()).isPresent();
     attempt.ifPresent(ForwardAttempt::abandon);
     if (writer.started()) {
       abortResponse(error.message());
@@ -469,8 +470,8 @@
       relayFullResponse(responses.failure().orElseThrow());
       return;
     }
-    boolean mayHaveRun = inProgress || outcomeUnknown;
-    ErrorResponse finalError = mayHaveRun ? error.asOutcomeUnknown() : error.asNotRun(RETRY_MS);
+    ErrorResponse finalError =
+        mayHaveRun ? error.asOutcomeUnknown() : hold.withReturnTime(error.asNotRun(RETRY_MS));
     log.addRefused(finalError, crashGuard.logFields());
     context.metrics().increment("refused." + finalError.type());
     GatewayResponses.sendError(caller, finalError);
@@ -489,8 +490,7 @@
   private void finish() {
     finished = true;
     hold.end();
-    boolean sentForDecoding = attempt.filter(a -> a.isSent() && !a.prefillOnly()).isPresent();
-    if (!sentForDecoding) {
+    if (attempt.filter(sent -> sent.isSent() && !sent.prefillOnly()).isEmpty()) {
       kvCache.free();
     }
     responses.release();
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/QueuedRequestFactory.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/QueuedRequestFactory.java
@@ -55,9 +55,7 @@
         .prompt()
         .map(prompt -> team + " " + path + " " + lastOf(prompt.parts()))
         .orElseGet(
-            () ->
-                Fingerprint.of(
-                    team, path, ByteBufUtil.getBytes(routed.httpRequest().content())));
+            () -> Fingerprint.of(team, path, ByteBufUtil.getBytes(routed.httpRequest().content())));
   }
 
   private static String lastOf(List<PromptPart> parts) {
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RequestHold.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RequestHold.java
@@ -66,8 +66,7 @@
     waiting = true;
     context.metrics().increment("waits");
     log.add(
-        "wait_begun",
-        "place=%d forecast_ms=%d".formatted(decision.place(), decision.forecastMs()));
+        "wait_begun", "place=%d forecast_ms=%d".formatted(decision.place(), decision.forecastMs()));
   }
 
   @Override
@@ -104,13 +103,13 @@
     }
   }
 
-  /** Replaces the delay of a refusal for lack of room by the time that the calendar has free. */
+  /** Returns an error with the time of return from the calendar, if the servers lack room. */
   ErrorResponse withReturnTime(ErrorResponse error) {
-    if (queued.isEmpty()) {
+    if (queued.isEmpty() || !error.isLackOfRoom()) {
       return error;
     }
     long forecastMs = error.retryAfterMs();
-    long returnAfterMs = context.waitingRoom().returnAfterMs(queued.orElseThrow(), forecastMs);
+    long returnAfterMs = context.waitingRoom().returnAfterMs(queued.orElseThrow());
     logReturn(forecastMs, returnAfterMs);
     return ErrorResponse.notRun(error.type(), error.message(), returnAfterMs);
   }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/WaitingRoom.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/WaitingRoom.java
@@ -1,6 +1,5 @@
 package io.samphiregauge.gateway.traffic;
 
-import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.queue.CallerAges;
 import io.samphiregauge.core.queue.QueueDecision;
 import io.samphiregauge.core.queue.QueueLimits;
@@ -12,6 +11,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.LongSupplier;
+import java.util.function.ObjLongConsumer;
+import java.util.function.Supplier;
 
 /**
  * The requests of this entry that wait for a place at a full service, with one {@link ServiceQueue}
@@ -21,8 +23,11 @@
   /** Period of the decisions while requests wait and no event shows that room has become free. */
   private static final long PERIOD_MS = 50;
 
-  private final EventLoopContext context;
+  private final Supplier<Optional<SiteConfig>> config;
   private final ServiceRoom room;
+  private final LongSupplier clock;
+  private final ObjLongConsumer<Runnable> scheduler;
+  private final GatewayMetrics metrics;
   private final QueueLimits limits = QueueLimits.forMemory(Runtime.getRuntime().maxMemory());
   private final Map<String, ServiceQueue> queues = new HashMap<>();
   private final Map<Long, QueuedCaller> callers = new HashMap<>();
@@ -33,19 +38,36 @@
   private boolean ticking;
   private boolean advanceScheduled;
 
-  WaitingRoom(EventLoopContext context, ServiceRoom room) {
-    this.context = context;
+  /**
+   * Creates an empty waiting room.
+   *
+   * @param config provides the newest configuration
+   * @param room tells how many requests may be sent to a service
+   * @param clock monotonic time in milliseconds
+   * @param scheduler runs a task on the event loop after a number of milliseconds
+   * @param metrics receives the depth of the queues
+   */
+  WaitingRoom(
+      Supplier<Optional<SiteConfig>> config,
+      ServiceRoom room,
+      LongSupplier clock,
+      ObjLongConsumer<Runnable> scheduler,
+      GatewayMetrics metrics) {
+    this.config = config;
     this.room = room;
+    this.clock = clock;
+    this.scheduler = scheduler;
+    this.metrics = metrics;
   }
 
   /** Returns whether the configuration calls for an order among the requests of its services. */
   boolean isEnabled() {
-    Optional<SiteConfig> config = context.view().config();
-    long version = config.map(SiteConfig::version).orElse(-1L);
+    Optional<SiteConfig> current = config.get();
+    long version = current.map(SiteConfig::version).orElse(-1L);
     if (version != configVersion) {
       configVersion = version;
-      enabled = config.filter(SiteConfig::hasCompetingRoutes).isPresent();
-      config.ifPresent(changed -> context.execute(() -> onConfigChange(changed)));
+      enabled = current.filter(SiteConfig::hasCompetingRoutes).isPresent();
+      current.ifPresent(changed -> scheduler.accept(() -> onConfigChange(changed), 0));
     }
     return enabled;
   }
@@ -67,7 +89,7 @@
    */
   void offer(QueuedRequest request, QueuedCaller caller) {
     String service = request.work().service();
-    long nowMs = DualTimestamp.monotonicNowMs();
+    long nowMs = clock.getAsLong();
     callers.put(request.work().number(), caller);
     apply(queueOf(service, nowMs).offer(request, room.freePlaces(service, nowMs), nowMs));
     startTicking();
@@ -85,11 +107,10 @@
    * Returns when a refused caller should return.
    *
    * @param request its request, which does not wait
-   * @param forecastMs time until room is expected for it
    */
-  long returnAfterMs(QueuedRequest request, long forecastMs) {
-    long nowMs = DualTimestamp.monotonicNowMs();
-    return queueOf(request.work().service(), nowMs).returnAfterMs(request, forecastMs, nowMs);
+  long returnAfterMs(QueuedRequest request) {
+    long nowMs = clock.getAsLong();
+    return queueOf(request.work().service(), nowMs).returnAfterMs(request, nowMs);
   }
 
   /** Decides on the waiting requests soon, since room may have become free. */
@@ -99,8 +120,8 @@
     }
   }
 
-  private void onConfigChange(SiteConfig config) {
-    List.copyOf(callers.values()).forEach(caller -> caller.onConfigChange(config));
+  private void onConfigChange(SiteConfig changed) {
+    List.copyOf(callers.values()).forEach(caller -> caller.onConfigChange(changed));
     onRoomChanged();
   }
 
@@ -112,30 +133,28 @@
     if (!advanceScheduled) {
       advanceScheduled = true;
       // Not at once: the event that freed a place may still be changing the loads.
-      context.execute(this::advance);
+      scheduler.accept(this::advance, 0);
     }
   }
 
   private void advance() {
     advanceScheduled = false;
     boolean open = isEnabled();
-    long nowMs = DualTimestamp.monotonicNowMs();
+    long nowMs = clock.getAsLong();
     for (Map.Entry<String, ServiceQueue> entry : List.copyOf(queues.entrySet())) {
       ServiceQueue queue = entry.getValue();
       if (queue.size() > 0) {
         int free = open ? room.freePlaces(entry.getKey(), nowMs) : Integer.MAX_VALUE;
         apply(queue.advance(free, nowMs));
       }
-      context
-          .metrics()
-          .setQueue(entry.getKey(), queue.size(), queue.waitingBytes(), queue.oldestMs(nowMs));
+      metrics.setQueue(entry.getKey(), queue.size(), queue.waitingBytes(), queue.oldestMs(nowMs));
     }
   }
 
   private void startTicking() {
     if (!ticking && !callers.isEmpty()) {
       ticking = true;
-      context.schedule(PERIOD_MS, this::tick);
+      scheduler.accept(this::tick, PERIOD_MS);
     }
   }
 
