--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/exchange/LoadExchange.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/exchange/LoadExchange.java
@@ -4,11 +4,14 @@
 import io.samphiregauge.schema.peer.BackendLoads;
 import io.samphiregauge.schema.peer.CachedPrompt;
 import io.samphiregauge.schema.peer.LoadScope;
+import io.samphiregauge.schema.peer.ServiceDemand;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 /**
@@ -57,9 +60,11 @@
   private final Map<String, Received> domainLoads = new HashMap<>();
   private Optional<Received> fleetLoads = Optional.empty();
   private List<BackendLoad> lastOwnLoads = List.of();
+  private List<ServiceDemand> ownDemands = List.of();
   private final List<CachedPrompt> promptsForDomains = new ArrayList<>();
   private final List<CachedPrompt> promptsForEntries = new ArrayList<>();
   private long firstHeadHeardMs = Long.MIN_VALUE;
+  private Set<String> otherDomains = Set.of();
   private boolean tree;
   private boolean head;
 
@@ -115,6 +120,15 @@
     return sendPeriodMs(entries) * (entries <= MAX_MESH_ENTRIES ? 1 : TREE_HOPS);
   }
 
+  /**
+   * Sets the demand at this entry, which later messages contain.
+   *
+   * @param demands demand for each service that has some; empty to send none
+   */
+  public void setOwnDemands(List<ServiceDemand> demands) {
+    ownDemands = List.copyOf(demands);
+  }
+
   /**
    * Returns the messages that are due after a period.
    *
@@ -129,8 +143,9 @@
     expire(nowMs);
     lastOwnLoads = ownLoads;
     List<Peer> others = members.stream().filter(peer -> !peer.vm().equals(vm)).toList();
+    otherDomains = others.stream().map(Peer::domain).collect(Collectors.toSet());
     tree = others.size() >= MAX_MESH_ENTRIES;
-    BackendLoads own = new BackendLoads(vm, domain, LoadScope.ENTRY, ownLoads, ownPrompts);
+    BackendLoads own = message(LoadScope.ENTRY, ownLoads, ownPrompts, ownDemands);
     if (!tree) {
       head = false;
       return outgoing(others.stream(), own).toList();
@@ -168,17 +183,28 @@
     }
     List<BackendLoad> domainSum = sum(Stream.concat(received(entryLoads), Stream.of(ownLoads)));
     List<BackendLoad> fleetSum = sum(Stream.concat(received(domainLoads), Stream.of(domainSum)));
+    List<ServiceDemand> domainDemand =
+        ServiceDemands.sum(Stream.concat(demands(entryLoads), Stream.of(ownDemands)));
+    List<ServiceDemand> fleetDemand =
+        ServiceDemands.sum(Stream.concat(demands(domainLoads), Stream.of(domainDemand)));
     Stream<Peer> otherHeads = otherDomains.values().stream().flatMap(list -> heads(list).stream());
     Stream<Peer> entries = ownDomain.stream().filter(peer -> !peer.vm().equals(vm));
     return Stream.concat(
-            outgoing(otherHeads, message(LoadScope.DOMAIN, domainSum, promptsForDomains)),
-            outgoing(entries, message(LoadScope.FLEET, fleetSum, promptsForEntries)))
+            outgoing(
+                otherHeads, message(LoadScope.DOMAIN, domainSum, promptsForDomains, domainDemand)),
+            outgoing(entries, message(LoadScope.FLEET, fleetSum, promptsForEntries, fleetDemand)))
         .toList();
   }
 
   private BackendLoads message(
-      LoadScope scope, List<BackendLoad> loads, List<CachedPrompt> prompts) {
-    return new BackendLoads(vm, domain, scope, loads, List.copyOf(prompts));
+      LoadScope scope,
+      List<BackendLoad> loads,
+      List<CachedPrompt> prompts,
+      List<ServiceDemand> demands) {
+    List<CachedPrompt> sentPrompts = List.copyOf(prompts);
+    return demands.isEmpty()
+        ? new BackendLoads(vm, domain, scope, loads, sentPrompts)
+        : new BackendLoads(vm, domain, scope, loads, sentPrompts, demands);
   }
 
   private static Stream<Outgoing> outgoing(Stream<Peer> receivers, BackendLoads message) {
@@ -237,6 +263,66 @@
         tree ? Stream.concat(received(entryLoads), received(domainLoads)) : received(entryLoads));
   }
 
+  /**
+   * Returns the demand of the other entries, as far as known.
+   *
+   * @param nowMs monotonic time in milliseconds
+   * @return one demand for each service that has some
+   */
+  public List<ServiceDemand> otherEntriesDemands(long nowMs) {
+    expire(nowMs);
+    if (tree && !head) {
+      return fleetLoads
+          .flatMap(received -> received.message().getDemands())
+          .map(fleet -> ServiceDemands.difference(fleet, ownDemands))
+          .orElse(List.of());
+    }
+    return ServiceDemands.sum(
+        tree ? Stream.concat(demands(entryLoads), demands(domainLoads)) : demands(entryLoads));
+  }
+
+  /**
+   * Returns whether the loads of other entries are known at all.
+   *
+   * @param nowMs monotonic time in milliseconds
+   */
+  public boolean hearsOthers(long nowMs) {
+    expire(nowMs);
+    if (tree && !head) {
+      return fleetLoads.isPresent();
+    }
+    return !entryLoads.isEmpty() || !domainLoads.isEmpty();
+  }
+
+  private static Stream<List<ServiceDemand>> demands(Map<String, Received> messages) {
+    return messages.values().stream().flatMap(received -> received.message().getDemands().stream());
+  }
+
+  /**
+   * Returns the age that the known loads of the entries of a failure domain can have.
+   *
+   * @param name the failure domain
+   * @param nowMs monotonic time in milliseconds
+   * @return the age in milliseconds; 0 if the domain has no other entries, and {@link
+   *     Long#MAX_VALUE} if its loads are unknown
+   */
+  public long ageMs(String name, long nowMs) {
+    if (!otherDomains.contains(name)) {
+      return 0;
+    }
+    if (tree && !head) {
+      return fleetLoads
+          .map(received -> nowMs - received.receivedAtMs() + (TREE_HOPS - 1) * TREE_PERIOD_MS)
+          .orElse(Long.MAX_VALUE);
+    }
+    return (tree ? domainLoads : entryLoads)
+        .values().stream()
+            .filter(received -> received.message().getDomain().equals(name))
+            .mapToLong(received -> nowMs - received.receivedAtMs() + (tree ? TREE_PERIOD_MS : 0))
+            .min()
+            .orElse(Long.MAX_VALUE);
+  }
+
   /** Removes the part of this entry, as last sent, from the sum of all entries. */
   private List<BackendLoad> subtractOwn(BackendLoads fleet) {
     Map<Integer, BackendLoad> own = new HashMap<>();
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/site/SiteConfig.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/site/SiteConfig.java
@@ -19,6 +19,8 @@
   private final Map<String, List<SiteRoute>> routesByHost;
   private final Map<String, ServiceSpec> services;
   private final Optional<Map<String, Team>> teamsByKey;
+  private final Optional<RequestLimits> requestLimits;
+  private final Map<String, TeamQuota> quotas;
 
   /**
    * Creates a configuration.
@@ -27,18 +29,27 @@
    * @param routes all routes
    * @param services all services
    * @param teamsByKey team of each key, or empty if no request needs a key
+   * @param requestLimits sizes up to which requests are accepted, or empty for the defaults
    */
   public SiteConfig(
       long version,
       List<SiteRoute> routes,
       List<ServiceSpec> services,
-      Optional<Map<String, Team>> teamsByKey) {
+      Optional<Map<String, Team>> teamsByKey,
+      Optional<RequestLimits> requestLimits) {
     this.version = version;
     this.routesByHost = groupByHost(routes);
     Map<String, ServiceSpec> servicesByName = new HashMap<>();
     services.forEach(service -> servicesByName.put(service.name(), service));
     this.services = Map.copyOf(servicesByName);
     this.teamsByKey = teamsByKey.map(Map::copyOf);
+    this.requestLimits = requestLimits;
+    Map<String, TeamQuota> quotasByTeam = new HashMap<>();
+    teamsByKey
+        .map(Map::values)
+        .orElse(List.of())
+        .forEach(team -> team.quota().ifPresent(quota -> quotasByTeam.put(team.name(), quota)));
+    this.quotas = Map.copyOf(quotasByTeam);
   }
 
   private static Map<String, List<SiteRoute>> groupByHost(List<SiteRoute> routes) {
@@ -104,6 +115,11 @@
         && urgent.targetLatencyMs() < other.targetLatencyMs();
   }
 
+  /** Returns the sizes up to which requests are accepted, or empty if the defaults apply. */
+  public Optional<RequestLimits> requestLimits() {
+    return requestLimits;
+  }
+
   /** Returns whether requests need a key on routes without public access. */
   public boolean requiresKeys() {
     return teamsByKey.isPresent();
@@ -128,6 +144,11 @@
     return Optional.empty();
   }
 
+  /** Returns the quotas of the teams that have one and a key, by the name of the team. */
+  public Map<String, TeamQuota> quotas() {
+    return quotas;
+  }
+
   /**
    * Finds the team that a key belongs to.
    *
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
@@ -52,13 +52,16 @@
   private final DecisionLogWriter decisionLog;
   private final HttpConnectionPool connectionPool;
   private final PooledHttpClient httpClient;
-  private final ServerChooser chooser;
-  private final ServerLoadTable serverLoads = new ServerLoadTable();
+  private final Sampling sampling;
+  private final DomainTraffic domainTraffic;
+  private final RoomAccount room;
+  private final ServerLoadTable serverLoads;
   private final ServerNoticeRecorder serverNotices = new ServerNoticeRecorder(this);
   private final HeldRequests heldRequests = new HeldRequests();
   private final WaitingRoom waitingRoom;
   private final CachedPromptBuffer cachedPrompts = new CachedPromptBuffer();
   private final CrashDetector crashDetector;
+  private final QuotaGate quotaGate;
   private final BufferBudget bufferBudget = new BufferBudget();
   private final Map<String, EngineRates> engineRates = new HashMap<>();
   private final Map<String, SharedRetryBudget> retryBudgets = new HashMap<>();
@@ -84,20 +87,22 @@
     this.decisionLog = decisionLog;
     this.connectionPool = new HttpConnectionPool(eventLoop, CONNECT_TIMEOUT_MS, CloseMode.GRACEFUL);
     this.httpClient = new PooledHttpClient(eventLoop);
+    this.room = new RoomAccount(this, settings.getServiceRoom().orElse(false));
+    this.serverLoads = new ServerLoadTable(room);
     this.waitingRoom =
         new WaitingRoom(
             () -> view().config(),
-            new SlotRoom(serverLoads, this::areLoadsStale),
+            new SlotRoom(serverLoads, room, this::areLoadsStale),
             DualTimestamp::monotonicNowMs,
             (task, delayMs) -> schedule(delayMs, task),
             metrics);
     this.crashDetector = new CrashDetector(this, callbacks.onServerCrash());
+    this.quotaGate = new QuotaGate(this, settings);
     Sampling randomSubset = Sampling.randomSubset(settings.getFailureDomain(), random);
-    this.chooser =
-        new ServerChooser(
-            settings.getFailureDomain(),
-            (servers, nowMs) ->
-                (areLoadsStale() ? randomSubset : Sampling.all()).candidates(servers, nowMs));
+    this.sampling =
+        (servers, nowMs) ->
+            (areLoadsStale() ? randomSubset : Sampling.all()).candidates(servers, nowMs);
+    this.domainTraffic = new DomainTraffic(this, settings);
   }
 
   Dialect dialect() {
@@ -125,7 +130,7 @@
   }
 
   /** Returns whether the group is so large that the loads of other entries are stale. */
-  private boolean areLoadsStale() {
+  boolean areLoadsStale() {
     return LoadExchange.maxAgeMs(viewSupplier.get().members().size()) > MAX_LOAD_AGE_MS;
   }
 
@@ -140,10 +145,18 @@
     return crashDetector;
   }
 
+  QuotaGate quotaGate() {
+    return quotaGate;
+  }
+
   ServerLoadTable serverLoads() {
     return serverLoads;
   }
 
+  RoomAccount room() {
+    return room;
+  }
+
   ServerNoticeRecorder serverNotices() {
     return serverNotices;
   }
@@ -166,8 +179,14 @@
     cachedPrompts.add(load, prompt);
   }
 
-  ServerChooser chooser() {
-    return chooser;
+  /** Returns what chooses the server of the next attempt of a request. */
+  ServerChooser chooser(RoutedRequest request) {
+    return new ServerChooser(
+        settings.getFailureDomain(), sampling, domainTraffic.crossing(request));
+  }
+
+  DomainTraffic domainTraffic() {
+    return domainTraffic;
   }
 
   RandomSource random() {
@@ -190,8 +209,9 @@
     return viewSupplier.get().config().flatMap(config -> config.engineSpec(service));
   }
 
-  /** Records a request in the retry budget of its service. */
+  /** Records a request in the retry budget and the demand of its service. */
   void recordRequest(String service) {
+    room.onArrival(service);
     retryBudget(service).recordRequest(DualTimestamp.monotonicNowMs());
   }
 
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/GatewayMetrics.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/GatewayMetrics.java
@@ -1,22 +1,20 @@
 package io.samphiregauge.gateway.traffic;
 
+import com.codahale.metrics.DefaultSettableGauge;
 import com.codahale.metrics.MetricRegistry;
-import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 
 /** Holds the counters and latencies of an entry. Thread-safe. */
 public final class GatewayMetrics {
   private final MetricRegistry registry = new MetricRegistry();
-  private final Map<String, AtomicLong> gauges = new ConcurrentHashMap<>();
 
   /** Returns the registry that contains all metrics, for export. */
   public MetricRegistry registry() {
     return registry;
   }
 
-  void increment(String name) {
+  /** Adds 1 to a counter. */
+  public void increment(String name) {
     registry.counter(name).inc();
   }
 
@@ -34,16 +32,17 @@
     setGauge("waiting_oldest_ms." + service, oldestMs);
   }
 
-  private void setGauge(String name, long value) {
-    gauges
-        .computeIfAbsent(
-            name,
-            added -> {
-              AtomicLong current = new AtomicLong();
-              registry.gauge(added, () -> current::get);
-              return current;
-            })
-        .set(value);
+  void add(String name, long amount) {
+    registry.counter(name).inc(amount);
+  }
+
+  long count(String name) {
+    return registry.counter(name).getCount();
+  }
+
+  /** Sets a value that is shown as it was set last. */
+  void setGauge(String name, long value) {
+    registry.gauge(name, () -> new DefaultSettableGauge<>(0L)).setValue(value);
   }
 
   void recordDurationMs(String name, long durationMs) {
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/PeerLoadExchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/PeerLoadExchange.java
@@ -31,6 +31,9 @@
     this.context = context;
     this.transport = transport;
     this.exchange = new LoadExchange(self.vm(), self.domain());
+    context
+        .domainTraffic()
+        .setLoadAge(domain -> exchange.ageMs(domain, DualTimestamp.monotonicNowMs()));
   }
 
   /** Sends the first message and schedules the next ones. */
@@ -54,6 +57,7 @@
   private void sendPeriodically() {
     List<GroupMember> members = context.view().members();
     context.schedule(LoadExchange.sendPeriodMs(members.size()), this::sendPeriodically);
+    exchange.setOwnDemands(context.room().ownDemands());
     exchange
         .messages(
             members.stream().map(PeerLoadExchange::toPeer).distinct().toList(),
@@ -103,6 +107,7 @@
           others.map(BackendLoad::getRunning).orElse(0),
           others.map(BackendLoad::getPromptTokens).orElse(0L));
     }
+    context.room().onExchange(exchange);
     context.waitingRoom().onRoomChanged();
   }
 }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/SlotRoom.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/SlotRoom.java
@@ -7,22 +7,25 @@
 import java.util.function.BooleanSupplier;
 
 /**
- * Counts the free slots of the servers of a service from the requests that are known to be in
- * flight. Confined to one event loop.
+ * Tells how many requests this entry may send to a service: the free slots of its servers while the
+ * loads of the other entries are fresh, else its share of the account. Confined to one event loop.
  */
 final class SlotRoom implements ServiceRoom {
   private final ServerLoadTable serverLoads;
+  private final RoomAccount account;
   private final BooleanSupplier stale;
 
   /**
    * Creates the room of all services.
    *
    * @param serverLoads the servers
+   * @param account the account of the room that entries share
    * @param stale whether the loads of other entries are too old to tell whether a service is full;
    *     no request may be refused because of them
    */
-  SlotRoom(ServerLoadTable serverLoads, BooleanSupplier stale) {
+  SlotRoom(ServerLoadTable serverLoads, RoomAccount account, BooleanSupplier stale) {
     this.serverLoads = serverLoads;
+    this.account = account;
     this.stale = stale;
   }
 
@@ -33,9 +36,12 @@
             .filter(load -> !load.server().prefillOnly())
             .toList();
     // Without servers the choice of the server decides whether the request is held or refused.
-    if (stale.getAsBoolean() || servers.isEmpty()) {
+    if (servers.isEmpty()) {
       return Integer.MAX_VALUE;
     }
+    if (stale.getAsBoolean()) {
+      return account.isActive() ? account.freePlaces(service, nowMs) : Integer.MAX_VALUE;
+    }
     return servers.stream()
         .mapToInt(load -> Math.max(0, load.server().slots() - load.totalInFlight()))
         .sum();
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/HttpServer.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/HttpServer.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.util.AttributeKey;
+import io.netty.util.concurrent.EventExecutor;
 import io.samphiregauge.core.Clock;
 import io.samphiregauge.core.result.Result;
 import java.net.InetSocketAddress;
@@ -118,7 +119,8 @@
    *
    * @param loops event loops of the connections; the server does not shut them down
    * @param address address to bind; port 0 selects a free port
-   * @param limits size and time limits of a request
+   * @param currentLimits provides the size and time limits of the requests; read once for each
+   *     connection
    * @param clock clock for the time limits
    * @param handler creates the handler of a connection, on its event loop; the handler receives
    *     each {@code FullHttpRequest} or {@link RequestError} and writes one response to it
@@ -127,34 +129,48 @@
   public static Result<HttpServer> start(
       EventLoopGroup loops,
       Address address,
-      HttpLimits limits,
+      Supplier<HttpLimits> currentLimits,
       Clock clock,
       Function<Channel, ChannelHandler> handler) {
     Map<EventLoop, EventLoopLag> lags = new ConcurrentHashMap<>();
+    Map<EventLoop, BodyMemory> bodyMemories = new ConcurrentHashMap<>();
+    long loopMemoryBytes = currentLimits.get().bodyMemoryBytes() / countLoops(loops);
     return bind(
         loops,
         address,
         pipeline ->
             addRequestHandlers(
                 pipeline,
-                limits,
+                currentLimits.get(),
                 clock,
                 lags.computeIfAbsent(
                     pipeline.channel().eventLoop(), loop -> EventLoopLag.start(loop, clock)),
+                bodyMemories.computeIfAbsent(
+                    pipeline.channel().eventLoop(), loop -> new BodyMemory(loopMemoryBytes)),
                 handler.apply(pipeline.channel())));
   }
 
+  private static long countLoops(EventLoopGroup loops) {
+    long count = 0;
+    for (EventExecutor loop : loops) {
+      count += loop.isShutdown() ? 0 : 1;
+    }
+    return Math.max(1, count);
+  }
+
   static void addRequestHandlers(
       ChannelPipeline pipeline,
       HttpLimits limits,
       Clock clock,
       EventLoopLag lag,
+      BodyMemory bodyMemory,
       ChannelHandler handler) {
     RequestSequencer sequencer = new RequestSequencer(limits, clock);
     pipeline
         .addLast(sequencer.arrivalHandler())
         .addLast(strictCodec(limits))
         .addLast(sequencer)
+        .addLast(new BodyMemoryGate(bodyMemory, limits.maxBodyBytes()))
         .addLast(new BodyLimit(limits.maxBodyBytes()))
         .addLast(new ArrivalRecorder(lag, clock))
         .addLast(new ClosedCallerFilter())
@@ -164,7 +180,7 @@
   private static StrictServerCodec strictCodec(HttpLimits limits) {
     return new StrictServerCodec(
         new HttpDecoderConfig()
-            .setMaxInitialLineLength(MAX_LINE_BYTES)
+            .setMaxInitialLineLength(limits.maxHeaderBytes())
             .setMaxHeaderSize(limits.maxHeaderBytes())
             .setMaxChunkSize(MAX_CHUNK_BYTES));
   }
