--- a/samphiregauge-gateway/src/test/java/io/samphiregauge/gateway/traffic/WaitingRoomTest.java
+++ b/samphiregauge-gateway/src/test/java/io/samphiregauge/gateway/traffic/WaitingRoomTest.java
@@ -65,6 +65,7 @@
         version,
         List.of(route("urgent", 0, urgentTargetMs), route("other", 2, otherTargetMs)),
         List.of(),
+        Optional.empty(),
         Optional.empty());
   }
 
