--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
@@ -58,6 +58,7 @@
   private final ServerLoadTable serverLoads;
   private final ServerNoticeRecorder serverNotices = new ServerNoticeRecorder(this);
   private final HeldRequests heldRequests = new HeldRequests();
+  private final WaitingRoom waitingRoom;
   private final CachedPromptBuffer cachedPrompts = new CachedPromptBuffer();
   private final CrashDetector crashDetector;
   private final QuotaGate quotaGate;
@@ -88,6 +89,13 @@
     this.httpClient = new PooledHttpClient(eventLoop);
     this.room = new RoomAccount(this, settings.getServiceRoom().orElse(false));
     this.serverLoads = new ServerLoadTable(room);
+    this.waitingRoom =
+        new WaitingRoom(
+            () -> view().config(),
+            new SlotRoom(serverLoads, room, this::areLoadsStale),
+            DualTimestamp::monotonicNowMs,
+            (task, delayMs) -> schedule(delayMs, task),
+            metrics);
     this.crashDetector = new CrashDetector(this, callbacks.onServerCrash());
     this.quotaGate = new QuotaGate(this, settings);
     Sampling randomSubset = Sampling.randomSubset(settings.getFailureDomain(), random);
@@ -157,6 +165,10 @@
     return heldRequests;
   }
 
+  WaitingRoom waitingRoom() {
+    return waitingRoom;
+  }
+
   CachedPromptBuffer cachedPrompts() {
     return cachedPrompts;
   }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/GatewayMetrics.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/GatewayMetrics.java
@@ -18,6 +18,20 @@
     registry.counter(name).inc();
   }
 
+  /**
+   * Sets the gauges of the requests that wait for a service.
+   *
+   * @param service name of the service
+   * @param requests number of requests
+   * @param bytes memory that they occupy
+   * @param oldestMs time for which the oldest one has waited, in milliseconds
+   */
+  void setQueue(String service, int requests, long bytes, long oldestMs) {
+    setGauge("waiting." + service, requests);
+    setGauge("waiting_bytes." + service, bytes);
+    setGauge("waiting_oldest_ms." + service, oldestMs);
+  }
+
   void add(String name, long amount) {
     registry.counter(name).inc(amount);
   }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/PeerLoadExchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/PeerLoadExchange.java
@@ -108,5 +108,6 @@
           others.map(BackendLoad::getPromptTokens).orElse(0L));
     }
     context.room().onExchange(exchange);
+    context.waitingRoom().onRoomChanged();
   }
 }
