Let one entry read the members and append usage records for a large domain

Cause: each entry of a large group read the members after each change of the group, appended its own usage records, and followed the configuration in the store after each new version. Every one of these calls is billed.

A new version that a reader tells is read from the store once, without following the topic after it.

DutyWorkerTest, CrashExchangeTest and FailingHandlerTest only pass the new function of the store and the exchange to their constructors.

--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/ConfigFollower.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/ConfigFollower.java
@@ -46,11 +46,14 @@
   /** Version in replies of an entry that knows no configuration. */
   private static final long NO_VERSION = -1;
 
+  private final ControlThread control;
+  private final SharedStore store;
   private final long revocationMs;
   private final StoreValueDecoder valueDecoder;
   private final Runnable onRead;
   private final TopicFollower topicFollower;
   private boolean followsStore;
+  private boolean readPending;
   private Optional<SiteConfig> config = Optional.empty();
 
   /** Time as of which {@link #config} is known to be the newest configuration. */
@@ -74,6 +77,8 @@
       long revocationMs,
       BooleanSupplier queried,
       Runnable onRead) {
+    this.control = control;
+    this.store = store;
     this.revocationMs = revocationMs;
     this.valueDecoder = valueDecoder;
     this.onRead = onRead;
@@ -118,15 +123,15 @@
 
   /**
    * Handles what a reader knows. If its version is the known one, the store need not be read. A
-   * different version is read from the store itself, because it is large and rarely changes.
+   * newer version is read once from the store itself, because it is large and rarely changes.
    *
    * @param version version that the reader knows
    * @param asOf time as of which that version is the newest
    */
   void confirm(long version, DualTimestamp asOf) {
     if (version != version()) {
-      if (version != NO_VERSION) {
-        followStore();
+      if (version > version()) {
+        readOnce();
       }
       return;
     }
@@ -145,6 +150,29 @@
     }
   }
 
+  /** Reads the configuration once; the reader still tells when it changes. */
+  private void readOnce() {
+    if (followsStore || readPending) {
+      return;
+    }
+    readPending = true;
+    DualTimestamp requestedAt = DualTimestamp.now();
+    control.onResult(
+        store.snapshotReader().read(Topic.CONFIG),
+        result -> {
+          readPending = false;
+          result.fold(
+              page -> {
+                onRecords(page.records(), requestedAt);
+                return true;
+              },
+              failure -> {
+                followStore();
+                return false;
+              });
+        });
+  }
+
   /** Returns the version of the known configuration, -1 without one. */
   long version() {
     return config.map(SiteConfig::version).orElse(NO_VERSION);
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
@@ -38,6 +38,7 @@
   private final CrashFollower crashFollower;
   private final CrashExchange crashExchange;
   private final ReaderExchange readerExchange;
+  private final UsageExchange usageExchange;
   private final UsageRecorder usageRecorder;
   private final Optional<DutyWorker> dutyWorker;
   private final Consumer<GatewayView> viewPublisher;
@@ -89,11 +90,13 @@
             self,
             settings.getDrainMs(),
             new ReaderExchange.Followers(backendFollower, configFollower, crashFollower));
+    this.usageExchange =
+        new UsageExchange(control, store, groupFollower::reader, groupFollower::replaceReader);
     long windowMs = settings.getUsageWindowS() * MS_PER_S;
     this.usageRecorder =
         new UsageRecorder(
             control,
-            store,
+            usageExchange,
             self,
             windowMs,
             () -> groupFollower.members().size(),
@@ -130,6 +133,8 @@
           crashFollower.start(crashExchange::recordStored);
           configFollower.start();
           backendFollower.start();
+          groupFollower.memberExchange().start(peerSender);
+          usageExchange.start(peerSender);
           groupFollower.start();
           readerExchange.start(peerSender);
           crashExchange.start(peerSender);
@@ -148,6 +153,8 @@
     control.post(
         () -> {
           readerExchange.onPeerMessage(from, message);
+          groupFollower.memberExchange().onPeerMessage(from, message);
+          usageExchange.onPeerMessage(from, message);
           crashExchange.onPeerMessage(from, message);
         });
   }
@@ -212,7 +219,7 @@
         () -> {
           groupFollower.leave();
           dutyWorker.ifPresent(DutyWorker::stop);
-          usageRecorder.flush();
+          usageRecorder.flushDirectly(() -> {});
         });
   }
 
@@ -223,7 +230,7 @@
    */
   public CompletableFuture<Void> flushUsage() {
     CompletableFuture<Void> done = new CompletableFuture<>();
-    control.post(() -> usageRecorder.flush(() -> done.complete(null)));
+    control.post(() -> usageRecorder.flushDirectly(() -> done.complete(null)));
     return done;
   }
 
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GroupFollower.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GroupFollower.java
@@ -1,6 +1,7 @@
 package io.samphiregauge.gateway.control;
 
 import io.samphiregauge.core.DualTimestamp;
+import io.samphiregauge.core.backend.StoreReaders;
 import io.samphiregauge.gateway.GroupMember;
 import io.samphiregauge.gateway.port.SharedStore;
 import java.lang.System.Logger;
@@ -8,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Keeps this entry in the group of entries and tracks the other members. Runs on the control
@@ -28,11 +30,16 @@
    */
   private static final long REJOIN_GRACE_MS = 2_500;
 
+  /** Up to this number of entries, each one reads the members from the store. */
+  private static final int MAX_OWN_READS = 20;
+
   private final ControlThread control;
   private final SharedStore store;
   private final GroupMember self;
   private final Runnable onChange;
+  private final MemberExchange memberExchange;
   private List<GroupMember> members;
+  private long silentReaders;
   private long generation;
   private boolean membersStale = true;
   private boolean stopped;
@@ -44,6 +51,7 @@
     this.self = self;
     this.onChange = onChange;
     this.members = List.of(self);
+    this.memberExchange = new MemberExchange(control, store, this::reader, this::replaceReader);
   }
 
   void start() {
@@ -92,16 +100,35 @@
   }
 
   private void readMembers() {
-    control.onResult(
-        store.memberReader().read(),
-        result ->
-            result
-                .value()
-                .ifPresent(
-                    texts -> {
-                      membersStale = false;
-                      onMembersRead(texts);
-                    }));
+    memberExchange.read(
+        generation,
+        texts -> {
+          membersStale = false;
+          onMembersRead(texts);
+        });
+  }
+
+  /** Returns the entry that reads the store for this one; empty if it does so itself. */
+  Optional<GroupMember> reader() {
+    if (members.size() <= MAX_OWN_READS) {
+      return Optional.empty();
+    }
+    List<GroupMember> neighbours =
+        members.stream().filter(member -> member.domain().equals(self.domain())).toList();
+    return StoreReaders.readerFor(
+            neighbours.stream().map(GroupMember::vm).toList(), self.vm(), silentReaders)
+        .flatMap(vm -> neighbours.stream().filter(m -> m.vm().equals(vm)).findFirst())
+        .filter(member -> member.capacity().isPresent());
+  }
+
+  /** Selects the other reader, because the present one has not answered. */
+  void replaceReader() {
+    silentReaders++;
+  }
+
+  /** Exchanges members with other entries. */
+  MemberExchange memberExchange() {
+    return memberExchange;
   }
 
   private void onMembersRead(List<String> texts) {
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/StoreCallCounter.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/StoreCallCounter.java
@@ -47,6 +47,10 @@
           add(name(topic) + "_append");
           return store.appender().append(topic, value, expectedEndOffset);
         },
+        (topic, values, expectedEndOffset) -> {
+          add(name(topic) + "_append");
+          return store.batchAppender().append(topic, values, expectedEndOffset);
+        },
         (member, generation) -> {
           add("join");
           return store.groupJoiner().join(member, generation);
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/UsageRecorder.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/UsageRecorder.java
@@ -4,13 +4,8 @@
 import io.samphiregauge.core.duty.JumpTolerantClock;
 import io.samphiregauge.core.duty.UsageAggregator;
 import io.samphiregauge.gateway.GroupMember;
-import io.samphiregauge.gateway.port.SharedStore;
-import io.samphiregauge.gateway.port.StoreRecord;
-import io.samphiregauge.gateway.port.Topic;
-import io.samphiregauge.net.Codec;
 import io.samphiregauge.schema.gateway.UsageRecord;
-import java.util.Optional;
-import java.util.OptionalLong;
+import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 
@@ -38,7 +33,7 @@
   private static final long RETRY_MS = 1_000;
 
   private final ControlThread control;
-  private final SharedStore store;
+  private final UsageExchange exchange;
   private final GroupMember self;
   private final long windowMs;
   private final IntSupplier processCount;
@@ -51,14 +46,14 @@
 
   UsageRecorder(
       ControlThread control,
-      SharedStore store,
+      UsageExchange exchange,
       GroupMember self,
       long windowMs,
       IntSupplier processCount,
       Supplier<DualTimestamp> clock) {
     this.processCount = processCount;
     this.control = control;
-    this.store = store;
+    this.exchange = exchange;
     this.self = self;
     this.processKey = new UsageAggregator.ProcessKey(self.vm(), self.startMs());
     this.windowMs = windowMs;
@@ -88,19 +83,27 @@
     hasUnwrittenCounts = true;
   }
 
-  /** Writes the counts now if there are any that are not in the store. */
-  void flush() {
-    flush(() -> {});
+  /** Writes a record and tells whether it is in the store. */
+  @FunctionalInterface
+  private interface RecordWriter {
+    void write(UsageRecord usage, Consumer<Boolean> whenDone);
+  }
+
+  /** Writes the counts if there are any that are not in the store. */
+  private void flush() {
+    if (hasUnwrittenCounts) {
+      writeRecord(exchange::write, () -> {});
+    }
   }
 
   /**
-   * Writes the counts now if there are any that are not in the store.
+   * Writes the counts to the store directly if there are any that are not in it.
    *
    * @param whenDone called when they are written, or the write has failed
    */
-  void flush(Runnable whenDone) {
+  void flushDirectly(Runnable whenDone) {
     if (hasUnwrittenCounts) {
-      writeRecord(whenDone);
+      writeRecord(exchange::append, whenDone);
     } else {
       whenDone.run();
     }
@@ -130,17 +133,14 @@
     }
   }
 
-  private void writeRecord(Runnable whenDone) {
+  private void writeRecord(RecordWriter writer, Runnable whenDone) {
     hasUnwrittenCounts = false;
     UsageRecord record =
         new UsageRecord(self.vm(), self.startMs(), aggregator.recentWindows(processKey));
-    byte[] bytes = Codec.json().encode(record);
-    control.onResult(
-        store
-            .appender()
-            .append(Topic.USAGE, new StoreRecord("", Optional.of(bytes)), OptionalLong.empty()),
-        result -> {
-          if (result.value().isEmpty()) {
+    writer.write(
+        record,
+        stored -> {
+          if (!stored) {
             hasUnwrittenCounts = true;
             scheduleRetry();
           }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/port/SharedStore.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/port/SharedStore.java
@@ -12,6 +12,7 @@
  * @param snapshotReader reads the newest record of each key
  * @param tailReader reads records from an offset
  * @param appender appends records
+ * @param batchAppender appends several records with one call
  * @param groupJoiner joins the group of entries, or renews the membership
  * @param groupLeaver removes this entry from the group
  * @param memberReader reads the members of the group
@@ -20,6 +21,7 @@
     SnapshotReader snapshotReader,
     TailReader tailReader,
     Appender appender,
+    BatchAppender batchAppender,
     GroupJoiner groupJoiner,
     GroupLeaver groupLeaver,
     MemberReader memberReader) {
@@ -65,6 +67,21 @@
         Topic topic, StoreRecord record, OptionalLong expectedEndOffset);
   }
 
+  /** Appends several records with one call. */
+  @FunctionalInterface
+  public interface BatchAppender {
+    /**
+     * Appends all records or none.
+     *
+     * @param topic the topic
+     * @param records the records, at least one
+     * @param expectedEndOffset end offset that the topic must have, or empty for any
+     * @return the new end offset, or the actual one if it differs from the expected one
+     */
+    CompletableFuture<Result<AppendResult>> append(
+        Topic topic, List<StoreRecord> records, OptionalLong expectedEndOffset);
+  }
+
   /** Joins the group of entries. */
   @FunctionalInterface
   public interface GroupJoiner {
--- a/samphiregauge-gateway/src/test/java/io/samphiregauge/gateway/control/CrashExchangeTest.java
+++ b/samphiregauge-gateway/src/test/java/io/samphiregauge/gateway/control/CrashExchangeTest.java
@@ -43,6 +43,7 @@
         (topic, record, end) ->
             CompletableFuture.completedFuture(
                 Result.failed(new NetFailure.NotConnected("store", "down"))),
+        (topic, records, end) -> new CompletableFuture<>(),
         (group, generation) -> new CompletableFuture<>(),
         group -> new CompletableFuture<>(),
         () -> new CompletableFuture<>());
--- a/samphiregauge-gateway/src/test/java/io/samphiregauge/gateway/control/DutyWorkerTest.java
+++ b/samphiregauge-gateway/src/test/java/io/samphiregauge/gateway/control/DutyWorkerTest.java
@@ -14,6 +14,7 @@
 import io.samphiregauge.net.NetFailure;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
@@ -93,7 +94,13 @@
             store,
             fleet,
             group,
-            new UsageRecorder(control, store, self, 5_000, () -> 1, vm::now),
+            new UsageRecorder(
+                control,
+                new UsageExchange(control, store, Optional::empty, () -> {}),
+                self,
+                5_000,
+                () -> 1,
+                vm::now),
             // No servers appear, so the order is repeated all the time.
             new FleetOrders(
                 control, fleet, () -> List.of(target), any -> 0, () -> vm.now().monotonicMs()),
@@ -123,6 +130,8 @@
         (topic, offset, waitMs) ->
             respond(vm, () -> Result.success(new ReadResult.Records(List.of(), offset))),
         (topic, record, end) -> respond(vm, () -> Result.success(append(topic, record, end))),
+        (topic, records, end) ->
+            respond(vm, () -> Result.success(append(topic, records.get(0), end))),
         (member, generation) -> respond(vm, () -> Result.success(1L)),
         member -> respond(vm, () -> Result.success(0L)),
         () -> respond(vm, () -> Result.success(others.stream().map(GroupMember::encode).toList())));
--- a/samphiregauge-gateway/src/test/java/io/samphiregauge/gateway/control/FailingHandlerTest.java
+++ b/samphiregauge-gateway/src/test/java/io/samphiregauge/gateway/control/FailingHandlerTest.java
@@ -48,6 +48,7 @@
               Result.success(new ReadResult.Records(List.of(record(key, value)), offset + 1)));
         },
         (topic, record, offset) -> new CompletableFuture<>(),
+        (topic, records, offset) -> new CompletableFuture<>(),
         (member, generation) -> new CompletableFuture<>(),
         member -> new CompletableFuture<>(),
         CompletableFuture::new);
