Read the duty lease seldom on entries of high rank

Cause: entries of rank 40 and more read the lease every 29 s and those before them more often, together about as many reads as the holder's duties need calls. Change: from rank 8 on the interval grows with the square of the rank, up to 60 s; an entry that moves up, because others have gone, reads earlier than it had planned, which shortens the takeover after the loss of many entries. Ranks up to 8 are as before. Test: DutyWorkerTest.

--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
@@ -42,8 +42,14 @@
   /** Added to the read interval for each rank above 0, because each read is charged. */
   private static final long POLL_DELAY_PER_RANK_MS = 700;
 
-  /** Rank from which on the read interval no longer grows. */
-  private static final int MAX_DELAY_RANK = 40;
+  /**
+   * Rank from which on the read interval grows with the square of the rank. The group drops members
+   * that have lost the store, so that those of lower rank are there to claim the lease.
+   */
+  private static final int SPARSE_RANK = 8;
+
+  /** Longest interval between two reads of the lease record. */
+  private static final long MAX_POLL_PERIOD_MS = 60_000;
 
   /** Time before the end of the lease at which the holder stops acting. */
   private static final long LEASE_MARGIN_MS = 700;
@@ -90,6 +96,7 @@
   private boolean wasHolder;
   private volatile boolean stopped;
   private long lastTickNumber;
+  private long nextTickAtMs;
 
   /**
    * Time limits of the duties, in milliseconds.
@@ -134,8 +141,17 @@
     stopped = true;
   }
 
+  /** Reads the lease earlier if this entry has moved up, because entries before it have gone. */
+  void onMembersChanged() {
+    long delayMs = pollPeriodMs(group.rank());
+    if (!stopped && lastTickNumber > 0 && clock.get().monotonicMs() + delayMs < nextTickAtMs) {
+      scheduleTick(delayMs);
+    }
+  }
+
   /** Schedules the next tick, which replaces one that was scheduled before. */
   private void scheduleTick(long delayMs) {
+    nextTickAtMs = clock.get().monotonicMs() + delayMs;
     long number = ++lastTickNumber;
     control.schedule(
         delayMs,
@@ -152,8 +168,7 @@
     }
     boolean holder = lease.isHeld(clock.get());
     logHolderChange(holder);
-    int rank = Math.min(MAX_DELAY_RANK, group.rank());
-    scheduleTick(holder ? POLL_PERIOD_MS : POLL_PERIOD_MS + rank * POLL_DELAY_PER_RANK_MS);
+    scheduleTick(holder ? POLL_PERIOD_MS : pollPeriodMs(group.rank()));
     if (holder) {
       performDuties();
     } else {
@@ -161,6 +176,17 @@
     }
   }
 
+  /**
+   * Returns the time between two reads of the lease record by an entry that does not hold it.
+   *
+   * @param rank index of the entry among the members
+   * @return the time in milliseconds
+   */
+  static long pollPeriodMs(int rank) {
+    long linearMs = rank * POLL_DELAY_PER_RANK_MS * Math.max(SPARSE_RANK, rank) / SPARSE_RANK;
+    return Math.min(MAX_POLL_PERIOD_MS, POLL_PERIOD_MS + linearMs);
+  }
+
   private void logHolderChange(boolean holder) {
     if (holder == wasHolder) {
       return;
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
@@ -69,7 +69,7 @@
             settings.getRevocationMs(),
             this::isQueried,
             this::publishView);
-    this.groupFollower = new GroupFollower(control, store, self, this::publishView);
+    this.groupFollower = new GroupFollower(control, store, self, this::onMembersChanged);
     this.backendFollower =
         new BackendFollower(
             control,
@@ -255,6 +255,11 @@
     return (int) backendFollower.servers().stream().filter(target::includes).count();
   }
 
+  private void onMembersChanged() {
+    dutyWorker.ifPresent(DutyWorker::onMembersChanged);
+    publishView();
+  }
+
   private void publishView() {
     viewPublisher.accept(
         new GatewayView(
--- a/samphiregauge-gateway/src/test/java/io/samphiregauge/gateway/control/DutyWorkerTest.java
+++ b/samphiregauge-gateway/src/test/java/io/samphiregauge/gateway/control/DutyWorkerTest.java
@@ -65,6 +65,19 @@
     }
   }
 
+  /** Guards against reads that grow with the group, and against a slower claim in a small one. */
+  @Test
+  void entriesOfHighRankReadTheLeaseSeldom() {
+    for (int rank = 0; rank <= 8; rank++) {
+      assertThat(DutyWorker.pollPeriodMs(rank)).isEqualTo(1_200 + rank * 700L);
+    }
+    double readsPerS = 0;
+    for (int rank = 0; rank < 560; rank++) {
+      readsPerS += 1_000.0 / DutyWorker.pollPeriodMs(rank);
+    }
+    assertThat(readsPerS).isLessThan(15);
+  }
+
   private static List<GroupMember> otherMembers(int count) {
     List<GroupMember> members = new ArrayList<>();
     for (int i = 0; i < count; i++) {
