Pass a newer configuration on to entries that ask a reader for it

Cause: an entry whose reader told a newer version followed the store; while the store turned that entry away (503), it asked again every 250 ms, 36 times in 9 s, and had no new configuration although its reader knew it.

--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/ConfigFollower.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/ConfigFollower.java
@@ -8,8 +8,10 @@
 import io.samphiregauge.gateway.port.StoreRecord;
 import io.samphiregauge.gateway.port.StoreValueDecoder;
 import io.samphiregauge.gateway.port.Topic;
+import io.samphiregauge.schema.peer.ConfigCopy;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.Base64;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
@@ -43,6 +45,9 @@
    */
   private static final double MAX_AGE_SHARE = 0.5;
 
+  /** Time after which the store is read if the reader has sent no copy. */
+  private static final long COPY_WAIT_MS = 300;
+
   /** Version in replies of an entry that knows no configuration. */
   private static final long NO_VERSION = -1;
 
@@ -54,6 +59,7 @@
   private final TopicFollower topicFollower;
   private boolean followsStore;
   private boolean readPending;
+  private Optional<byte[]> configBytes = Optional.empty();
   private Optional<SiteConfig> config = Optional.empty();
 
   /** Time as of which {@link #config} is known to be the newest configuration. */
@@ -123,15 +129,16 @@
 
   /**
    * Handles what a reader knows. If its version is the known one, the store need not be read. A
-   * newer version is read once from the store itself, because it is large and rarely changes.
+   * newer version is copied from the reader, or read once from the store if that sends no copy.
    *
    * @param version version that the reader knows
    * @param asOf time as of which that version is the newest
+   * @param copyRequester asks the reader for a copy; false if it cannot send one
    */
-  void confirm(long version, DualTimestamp asOf) {
+  void confirm(long version, DualTimestamp asOf, BooleanSupplier copyRequester) {
     if (version != version()) {
       if (version > version()) {
-        readOnce();
+        getNewer(version, copyRequester);
       }
       return;
     }
@@ -150,6 +157,42 @@
     }
   }
 
+  private void getNewer(long version, BooleanSupplier copyRequester) {
+    if (!copyRequester.getAsBoolean()) {
+      readOnce();
+      return;
+    }
+    control.schedule(
+        COPY_WAIT_MS,
+        () -> {
+          if (version > version()) {
+            readOnce();
+          }
+        });
+  }
+
+  /**
+   * Returns a copy of the configuration for another entry.
+   *
+   * @param knownVersion version that the other entry knows
+   * @param maxBytes largest copy
+   * @return the copy; empty if it is not newer, too large or unknown
+   */
+  Optional<ConfigCopy> copyFor(long knownVersion, long maxBytes) {
+    return configBytes
+        .filter(bytes -> version() > knownVersion && bytes.length <= maxBytes)
+        .map(bytes -> new ConfigCopy(Base64.getEncoder().encodeToString(bytes)));
+  }
+
+  /**
+   * Applies a copy. It is not known as of when it is the newest; the next reply of the reader
+   * tells.
+   */
+  void applyCopy(ConfigCopy copy) {
+    applyConfig(Base64.getDecoder().decode(copy.getValue()));
+    onRead.run();
+  }
+
   /** Reads the configuration once; the reader still tells when it changes. */
   private void readOnce() {
     if (followsStore || readPending) {
@@ -166,10 +209,8 @@
                 onRecords(page.records(), requestedAt);
                 return true;
               },
-              failure -> {
-                followStore();
-                return false;
-              });
+              // The next reply of the reader leads to the next attempt.
+              failure -> false);
         });
   }
 
@@ -215,6 +256,7 @@
                   config.map(previous -> Long.toString(previous.version())).orElse("-"),
                   Integer.toString(next.routeCount()));
               config = Optional.of(next);
+              configBytes = Optional.of(bytes);
             });
   }
 
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/ReaderExchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/ReaderExchange.java
@@ -2,8 +2,11 @@
 
 import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.backend.StoreReaders;
+import io.samphiregauge.core.directory.EntryCapacity;
 import io.samphiregauge.gateway.GroupMember;
 import io.samphiregauge.schema.PeerMessage;
+import io.samphiregauge.schema.peer.ConfigCopy;
+import io.samphiregauge.schema.peer.ConfigQuery;
 import io.samphiregauge.schema.peer.ReaderQuery;
 import io.samphiregauge.schema.peer.ReaderReply;
 import java.util.List;
@@ -25,6 +28,11 @@
    */
   private static final long QUERIED_TIMEOUT_MS = 3_000;
 
+  private static final double BYTES_PER_MBIT = 125_000;
+
+  /** Time for which copies of the configuration may occupy the link. */
+  private static final double COPY_LINK_S = 0.25;
+
   private final ControlThread control;
   private final GroupFollower group;
   private final GroupMember self;
@@ -103,10 +111,37 @@
       lastQueriedAt = DualTimestamp.now();
       peerSender.accept(from, createReply(query));
     } else if (message instanceof ReaderReply reply) {
-      onReply(reply);
+      onReply(from, reply);
+    } else if (message instanceof ConfigQuery query) {
+      followers
+          .config()
+          .copyFor(query.getVersion(), maxCopyBytes())
+          .ifPresent(copy -> peerSender.accept(from, copy));
+    } else if (message instanceof ConfigCopy copy) {
+      followers.config().applyCopy(copy);
     }
   }
 
+  /** Asks a reader for its configuration, unless it runs an earlier version of the program. */
+  private boolean requestConfig(String reader) {
+    boolean knowsQuery =
+        group.members().stream()
+            .anyMatch(m -> m.peerAddress().equals(reader) && m.capacity().isPresent());
+    if (knowsQuery) {
+      peerSender.accept(reader, new ConfigQuery(followers.config().version()));
+    }
+    return knowsQuery;
+  }
+
+  /** Returns the size of a copy that, sent to all entries of the domain, does not fill the link. */
+  private long maxCopyBytes() {
+    long neighbours =
+        group.members().stream().filter(m -> m.domain().equals(self.domain())).count();
+    double linkBytesPerS =
+        self.capacity().map(EntryCapacity::linkMbps).orElse(0.0) * BYTES_PER_MBIT;
+    return (long) (linkBytesPerS * COPY_LINK_S / Math.max(1, neighbours));
+  }
+
   private ReaderReply createReply(ReaderQuery query) {
     DualTimestamp now = DualTimestamp.now();
     BackendFollower backends = followers.backends();
@@ -129,7 +164,7 @@
    * Applies a reply to the last query. The ages in the reply are counted back from the time at
    * which the query was sent, because the reply may have waited in a socket buffer for long.
    */
-  private void onReply(ReaderReply reply) {
+  private void onReply(String from, ReaderReply reply) {
     if (reply.getNumber() != lastQuery.number() || lastQuery.answered()) {
       return;
     }
@@ -137,7 +172,7 @@
     boolean applied = followers.backends().applyReply(reply, sentAt.minusMs(reply.getAgeMs()));
     lastQuery = new PeerQuery(lastQuery.number(), sentAt, applied);
     DualTimestamp readAsOf = sentAt.minusMs(reply.getConfigAgeMs());
-    followers.config().confirm(reply.getConfigVersion(), readAsOf);
+    followers.config().confirm(reply.getConfigVersion(), readAsOf, () -> requestConfig(from));
     // The reader waits for crash records all the time, but hears of none while it has lost the
     // store, which the age of its configuration shows.
     followers.crashes().learn(reply.getCrashes(), reply.getCrashOffset(), readAsOf);
