--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/ConfigFollower.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/ConfigFollower.java
@@ -36,8 +36,12 @@
    */
   private static final double READS_PER_REVOCATION_TIME = 2.5;
 
-  /** As above, while other entries rely on the age of the configuration that this entry knows. */
-  private static final double READS_PER_REVOCATION_TIME_IF_QUERIED = 5;
+  /**
+   * As above, while other entries rely on the age of the configuration that this entry knows. Just
+   * before the end of a read, the known age is twice its duration; with the time between two
+   * queries it must stay below the age at which those entries read the store themselves.
+   */
+  private static final double READS_PER_REVOCATION_TIME_IF_QUERIED = 6.5;
 
   /**
    * Age of the configuration, as a fraction of the time for which a revoked key may still work, at
