--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/quota/QuotaBucket.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/quota/QuotaBucket.java
@@ -10,8 +10,12 @@
   /** Above this part of the depth, credit is also lent for requests that are still to come. */
   private static final double AHEAD_PART = 0.5;
 
-  /** A longer time to return tells nothing more, since callers have left by then. */
-  private static final double MAX_RETRY_MS = 30_000;
+  /**
+   * Refused requests are told to return one after the other over this time, then from its start
+   * again. Credit accrues all the time and is not reserved, so that a longer wait would only make
+   * callers leave that could get some.
+   */
+  private static final double RETURN_SPREAD_S = 2;
 
   private final TeamQuota quota;
   private final QuotaTolerance tolerance;
@@ -72,10 +76,13 @@
       lent += cost;
     }
     if (denied > 0) {
-      double backlog = Math.max(0, -level) + promised;
       promised += denied;
-      double retryMs = (backlog + denied) / quota.ratePerS() * MS_PER_S;
-      return new LentCredit(lent, (long) Math.min(MAX_RETRY_MS, Math.max(1, retryMs)));
+      if (promised > RETURN_SPREAD_S * quota.ratePerS()) {
+        promised = denied;
+      }
+      double backlog = Math.max(0, -level) + promised;
+      double retryMs = backlog / quota.ratePerS() * MS_PER_S;
+      return new LentCredit(lent, (long) Math.max(1, retryMs));
     }
     double spare = level - AHEAD_PART * depth;
     long lentAhead = (long) Math.max(0, Math.min((double) ahead, spare));
