Let an entry without a request in flight send one to a full service

In large groups the share of an entry can be less than one place of a small service. The account then allows one request after half a second, but the servers' queues are a few tens of milliseconds long, so the request would wait at the entry beyond its objective.

--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
@@ -22,6 +22,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -92,7 +93,12 @@
     this.waitingRoom =
         new WaitingRoom(
             () -> view().config(),
-            new SlotRoom(serverLoads, room, this::areLoadsStale),
+            new SlotRoom(
+                service ->
+                    serverLoads.candidates(service, Set.of(), DualTimestamp.monotonicNowMs()),
+                room,
+                room::isActive,
+                this::areLoadsStale),
             DualTimestamp::monotonicNowMs,
             (task, delayMs) -> schedule(delayMs, task),
             metrics);
