Tell shares of callers at once only when they fall, and not at the start

Change: KnownShares.mustTell. Test: EntrySharesTest.aShareIsToldAtOnceOnlyWhenItFallsAndNeverAtTheStart.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/directory/KnownShares.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/directory/KnownShares.java
@@ -30,6 +30,9 @@
   /** Periods after which a share is forgotten; one message may be lost. */
   private static final double RETENTION_PERIODS = 2.5;
 
+  /** Fall of the share that is told at once. */
+  private static final double TOLD_FALL = 0.1;
+
   private final long startedAtMs;
   private final Map<String, Long> joinedAtMs = new HashMap<>();
   private final Map<String, Told> told = new HashMap<>();
@@ -55,6 +58,23 @@
     return Math.max(MIN_PERIOD_MS, members * PERIOD_MS_PER_MEMBER);
   }
 
+  /**
+   * Decides whether an entry tells its share: a fall at once, a rise with the next due message, and
+   * nothing while it starts, when the others give it a smaller share anyway. Otherwise a restart of
+   * all entries would make all of them send to all.
+   *
+   * @param share present share of the entry
+   * @param toldShare share that it has told last, 1 at first
+   * @param sinceToldMs time since then, in milliseconds
+   * @param nowMs monotonic time in milliseconds
+   * @return whether the share is to be told now
+   */
+  public boolean mustTell(double share, double toldShare, long sinceToldMs, long nowMs) {
+    boolean starting = nowMs - startedAtMs < START_MS;
+    boolean due = sinceToldMs >= periodMs(joinedAtMs.size()) && (share < 1 || toldShare < 1);
+    return !starting && (due || toldShare - share >= TOLD_FALL);
+  }
+
   /**
    * Replaces the members of the group.
    *
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/directory/EntrySharesTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/directory/EntrySharesTest.java
@@ -52,6 +52,18 @@
     assertThat(shares.share("b@2", 16_000)).isEqualTo(1);
   }
 
+  /** Guards against messages of all entries to all after a restart of all of them. */
+  @Test
+  void aShareIsToldAtOnceOnlyWhenItFallsAndNeverAtTheStart() {
+    KnownShares shares = new KnownShares(0);
+    assertThat(shares.mustTell(0.25, 1, 5_000, 5_000)).as("starting").isFalse();
+    assertThat(shares.mustTell(0.25, 1, 100, 7_000)).as("fall").isTrue();
+    assertThat(shares.mustTell(0.45, 0.25, 500, 7_000)).as("rise").isFalse();
+    assertThat(shares.mustTell(0.45, 0.25, 1_000, 7_000)).as("due").isTrue();
+    assertThat(shares.mustTell(1, 0.8, 1_000, 7_000)).as("last").isTrue();
+    assertThat(shares.mustTell(1, 1, 9_000, 9_000)).as("calm").isFalse();
+  }
+
   @Test
   void messagesStayBoundedInLargeGroups() {
     for (int members : List.of(8, 65, 87, 560)) {
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ShareExchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ShareExchange.java
@@ -30,8 +30,8 @@
   /** Fewer requests say little about the average. */
   private static final int MIN_MEASURED_REQUESTS = 20;
 
-  /** Change of the own share that the others are told at once. */
-  private static final double TOLD_CHANGE = 0.1;
+  /** Change of the share that is logged. */
+  private static final double LOGGED_CHANGE = 0.1;
 
   private final EventLoopContext context;
   private final GroupMember self;
@@ -77,9 +77,7 @@
     updateDemand(sample.bytes());
     updateMembers(nowMs);
     share = ownShare.update(new EntryCondition(sample.busy(), sample.lagMs(), staleness()), nowMs);
-    boolean changed = Math.abs(share - toldShare) >= TOLD_CHANGE || (share == 1 && toldShare < 1);
-    boolean due = share < 1 && nowMs - toldAtMs >= KnownShares.periodMs(members.size());
-    if (changed || due) {
+    if (knownShares.mustTell(share, toldShare, nowMs - toldAtMs, nowMs)) {
       tell(nowMs);
     }
   }
@@ -112,7 +110,7 @@
 
   /** Tells the members that know this message: earlier versions do not tell their capacity. */
   private void tell(long nowMs) {
-    if (Math.abs(share - toldShare) >= TOLD_CHANGE) {
+    if (Math.abs(share - toldShare) >= LOGGED_CHANGE) {
       LOG.log(
           Level.INFO,
           "event=caller_share share={0} link_kbits_per_request={1}",
