--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
@@ -101,25 +101,29 @@
             windowMs,
             () -> groupFollower.members().size(),
             DualTimestamp::now);
-    this.dutyWorker =
-        fleet.map(
-            api ->
-                new DutyWorker(
-                    control,
-                    store,
-                    api,
-                    groupFollower,
-                    usageRecorder,
-                    new FleetOrders(
-                        control,
-                        api,
-                        this::plannedTargets,
-                        this::countPresentServers,
-                        DualTimestamp::monotonicNowMs),
-                    self,
-                    new DutyWorker.DutyTiming(
-                        settings.getLeaseMs(), windowMs, settings.getUsageLateS() * MS_PER_S),
-                    DualTimestamp::now));
+    this.dutyWorker = fleet.map(api -> createDutyWorker(settings, self, store, api));
+  }
+
+  private DutyWorker createDutyWorker(
+      EntrySettings settings, GroupMember self, SharedStore store, FleetApi api) {
+    return new DutyWorker(
+        control,
+        store,
+        api,
+        groupFollower,
+        usageRecorder,
+        new FleetOrders(
+            control,
+            api,
+            this::plannedTargets,
+            this::countPresentServers,
+            DualTimestamp::monotonicNowMs),
+        self,
+        new DutyWorker.DutyTiming(
+            settings.getLeaseMs(),
+            settings.getUsageWindowS() * MS_PER_S,
+            settings.getUsageLateS() * MS_PER_S),
+        DualTimestamp::now);
   }
 
   /**
