Tell other entries which backend servers answer slowly

Cause: an entry of a large group sends one engine a request every few seconds, so it does not notice that the engine has turned slow. A server without figures counts as usual again by steps; figures are bounded for each entry, and end with the incarnation.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/EngineRates.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/EngineRates.java
@@ -130,9 +130,11 @@
   /**
    * Records the first token of a prompt that another engine prefilled.
    *
+   * @param load the engine that decodes
    * @param tookMs time from sending the request to the token, in milliseconds
    */
-  public void recordHandover(double tookMs) {
+  public void recordHandover(ServerLoad load, double tookMs) {
+    load.recordSpeedSample(tookMs, handover.expectedMs(0));
     handover.record(0, tookMs);
   }
 
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerChooser.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerChooser.java
@@ -238,7 +238,8 @@
             sampling.candidates(usable, nowMs),
             nowMs,
             load ->
-                load.totalInFlight() * RUNNING_REQUEST_MS
+                load.totalInFlight() * RUNNING_REQUEST_MS * load.slowness()
+                    + rates.handoverMs() * load.slowness()
                     + rates.queueMs(load)
                     + rates.slotWaitMs(load)
                     + handoverCost(load, sourceDomain, prompt.tokens())
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerLoad.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerLoad.java
@@ -2,6 +2,8 @@
 
 import io.samphiregauge.core.TextHash;
 import io.samphiregauge.core.backend.BackendServer;
+import io.samphiregauge.schema.peer.ServerSpeed;
+import java.util.Optional;
 
 /**
  * Tracks the load and health of a backend server as seen by one entry. Confined to one traffic
@@ -20,6 +22,15 @@
   /** Relative change of the slowness for one response. */
   private static final double SLOWNESS_STEP = 0.05;
 
+  /** Responses of all entries below which they say nothing about the server. */
+  private static final int MIN_FLEET_RESPONSES = 3;
+
+  /** Usual responses that are added, so that a single late one does not mark a server as slow. */
+  private static final double FLEET_PRIOR = 2;
+
+  /** Part of the way back to the usual speed for each period of the load exchange. */
+  private static final double FLEET_RECOVERY_STEP = 0.2;
+
   private static final double MIN_SLOWNESS = 0.5;
   private static final double MAX_SLOWNESS = 4;
 
@@ -33,6 +44,8 @@
   private double latencyMs;
   private double failureRate;
   private double slowness = 1;
+  private final SpeedSamples speedSamples = new SpeedSamples();
+  private double fleetSlowness = 1;
   private int consecutiveFailures;
   private long avoidUntilMs = Long.MIN_VALUE;
   private boolean unreachable;
@@ -155,7 +168,44 @@
    * if it is slower.
    */
   public double slowness() {
-    return slowness;
+    return Math.max(MIN_SLOWNESS, Math.min(MAX_SLOWNESS, slowness * fleetSlowness));
+  }
+
+  /**
+   * Ends a period of the load exchange.
+   *
+   * @return how fast the server answered this entry within the last second, or empty if it did not
+   */
+  public Optional<ServerSpeed> endSpeedPeriod() {
+    SpeedSamples.Sum sum = speedSamples.endPeriod();
+    return sum.responses() == 0
+        ? Optional.empty()
+        : Optional.of(new ServerSpeed(key, sum.responses(), sum.slownessSum()));
+  }
+
+  /**
+   * Sets how fast the server answered all entries within the last second. Without enough responses
+   * the server counts as usual again by steps, so that not all entries return to it at once.
+   *
+   * @param responses number of responses
+   * @param slownessSum sum of their times, each relative to what this entry would have expected
+   */
+  public void setFleetSpeed(int responses, double slownessSum) {
+    double target =
+        responses >= MIN_FLEET_RESPONSES
+            ? Math.max(1, Math.min(MAX_SLOWNESS, meanSlowness(responses, slownessSum)))
+            : 1;
+    double step = target > fleetSlowness ? 1 : FLEET_RECOVERY_STEP;
+    fleetSlowness += step * (target - fleetSlowness);
+  }
+
+  private static double meanSlowness(int responses, double slownessSum) {
+    return (slownessSum + FLEET_PRIOR) / (responses + FLEET_PRIOR);
+  }
+
+  /** Records how fast the server was, for the other entries. */
+  void recordSpeedSample(double tookMs, double expectedMs) {
+    speedSamples.record(tookMs / Math.max(1, expectedMs));
   }
 
   /**
@@ -166,6 +216,7 @@
    */
   void recordSpeed(double tookMs, double expectedMs) {
     observe(tookMs - expectedMs);
+    recordSpeedSample(tookMs, expectedMs * slowness);
     double ratio = tookMs / Math.max(1, expectedMs);
     double step = 1 + SLOWNESS_STEP * Math.signum(ratio - slowness);
     slowness = Math.max(MIN_SLOWNESS, Math.min(MAX_SLOWNESS, slowness * step));
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/exchange/LoadExchange.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/exchange/LoadExchange.java
@@ -4,6 +4,7 @@
 import io.samphiregauge.schema.peer.BackendLoads;
 import io.samphiregauge.schema.peer.CachedPrompt;
 import io.samphiregauge.schema.peer.LoadScope;
+import io.samphiregauge.schema.peer.ServerSpeed;
 import io.samphiregauge.schema.peer.ServiceDemand;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -61,6 +62,7 @@
   private Optional<Received> fleetLoads = Optional.empty();
   private List<BackendLoad> lastOwnLoads = List.of();
   private List<ServiceDemand> ownDemands = List.of();
+  private List<ServerSpeed> ownSpeeds = List.of();
   private final List<CachedPrompt> promptsForDomains = new ArrayList<>();
   private final List<CachedPrompt> promptsForEntries = new ArrayList<>();
   private long firstHeadHeardMs = Long.MIN_VALUE;
@@ -129,6 +131,15 @@
     ownDemands = List.copyOf(demands);
   }
 
+  /**
+   * Sets how fast backend servers answered this entry, which later messages contain.
+   *
+   * @param speeds speed of each server that answered within the last second; empty to send none
+   */
+  public void setOwnSpeeds(List<ServerSpeed> speeds) {
+    ownSpeeds = List.copyOf(speeds);
+  }
+
   /**
    * Returns the messages that are due after a period.
    *
@@ -145,7 +156,7 @@
     List<Peer> others = members.stream().filter(peer -> !peer.vm().equals(vm)).toList();
     otherDomains = others.stream().map(Peer::domain).collect(Collectors.toSet());
     tree = others.size() >= MAX_MESH_ENTRIES;
-    BackendLoads own = message(LoadScope.ENTRY, ownLoads, ownPrompts, ownDemands);
+    BackendLoads own = message(LoadScope.ENTRY, ownLoads, ownPrompts, ownDemands, ownSpeeds);
     if (!tree) {
       head = false;
       return outgoing(others.stream(), own).toList();
@@ -187,12 +198,20 @@
         ServiceDemands.sum(Stream.concat(demands(entryLoads), Stream.of(ownDemands)));
     List<ServiceDemand> fleetDemand =
         ServiceDemands.sum(Stream.concat(demands(domainLoads), Stream.of(domainDemand)));
+    List<ServerSpeed> domainSpeeds =
+        ServerSpeeds.sum(Stream.concat(speeds(entryLoads), Stream.of(ownSpeeds)));
+    List<ServerSpeed> fleetSpeeds =
+        ServerSpeeds.sum(Stream.concat(speeds(domainLoads), Stream.of(domainSpeeds)));
     Stream<Peer> otherHeads = otherDomains.values().stream().flatMap(list -> heads(list).stream());
     Stream<Peer> entries = ownDomain.stream().filter(peer -> !peer.vm().equals(vm));
     return Stream.concat(
             outgoing(
-                otherHeads, message(LoadScope.DOMAIN, domainSum, promptsForDomains, domainDemand)),
-            outgoing(entries, message(LoadScope.FLEET, fleetSum, promptsForEntries, fleetDemand)))
+                otherHeads,
+                message(
+                    LoadScope.DOMAIN, domainSum, promptsForDomains, domainDemand, domainSpeeds)),
+            outgoing(
+                entries,
+                message(LoadScope.FLEET, fleetSum, promptsForEntries, fleetDemand, fleetSpeeds)))
         .toList();
   }
 
@@ -200,11 +219,12 @@
       LoadScope scope,
       List<BackendLoad> loads,
       List<CachedPrompt> prompts,
-      List<ServiceDemand> demands) {
+      List<ServiceDemand> demands,
+      List<ServerSpeed> speeds) {
     List<CachedPrompt> sentPrompts = List.copyOf(prompts);
-    return demands.isEmpty()
+    return demands.isEmpty() && speeds.isEmpty()
         ? new BackendLoads(vm, domain, scope, loads, sentPrompts)
-        : new BackendLoads(vm, domain, scope, loads, sentPrompts, demands);
+        : new BackendLoads(vm, domain, scope, loads, sentPrompts, demands, speeds);
   }
 
   private static Stream<Outgoing> outgoing(Stream<Peer> receivers, BackendLoads message) {
@@ -281,6 +301,26 @@
         tree ? Stream.concat(demands(entryLoads), demands(domainLoads)) : demands(entryLoads));
   }
 
+  /**
+   * Returns how fast backend servers answered all entries, this one included, as far as known.
+   *
+   * @param nowMs monotonic time in milliseconds
+   * @return one speed for each server that answered within the last second
+   */
+  public List<ServerSpeed> fleetSpeeds(long nowMs) {
+    expire(nowMs);
+    if (tree && !head) {
+      return fleetLoads.flatMap(received -> received.message().getSpeeds()).orElse(ownSpeeds);
+    }
+    Stream<List<ServerSpeed>> others =
+        tree ? Stream.concat(speeds(entryLoads), speeds(domainLoads)) : speeds(entryLoads);
+    return ServerSpeeds.sum(Stream.concat(others, Stream.of(ownSpeeds)));
+  }
+
+  private static Stream<List<ServerSpeed>> speeds(Map<String, Received> messages) {
+    return messages.values().stream().flatMap(received -> received.message().getSpeeds().stream());
+  }
+
   /**
    * Returns whether the loads of other entries are known at all.
    *
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/room/RoomReplayTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/room/RoomReplayTest.java
@@ -83,7 +83,8 @@
                     .map(load -> new BackendLoad(load.key(), 0, 1_000_000))
                     .toList(),
                 List.of(),
-                List.of(new ServiceDemand(service, 1_000_000)));
+                List.of(new ServiceDemand(service, 1_000_000)),
+                List.of());
     replay.run(20_000, s -> 0.4);
     // Half of the entries' requests are at a tenth of them, which may send two a second at least.
     assertThat(replay.sends).isGreaterThan(replay.arrivals / 2);
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
@@ -135,6 +135,11 @@
     return decisionLog;
   }
 
+  /** Returns whether the entries tell each other how fast servers answer. */
+  boolean sharesSpeeds() {
+    return settings.getSharedSpeeds().orElse(false) && areLoadsStale();
+  }
+
   /** Returns whether the group is so large that the loads of other entries are stale. */
   boolean areLoadsStale() {
     return LoadExchange.maxAgeMs(viewSupplier.get().members().size()) > MAX_LOAD_AGE_MS;
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ForwardAttempt.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ForwardAttempt.java
@@ -118,7 +118,7 @@
   void recordFirstToken(EngineRates rates) {
     firstTokenMs = elapsedMs();
     if (kvSource.isPresent()) {
-      rates.recordHandover((double) elapsedMs());
+      rates.recordHandover(load, (double) elapsedMs());
     } else if (uncachedTokens > 0) {
       rates.recordPrefill(load, (double) queuedTokens, (double) elapsedMs());
     }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/PeerLoadExchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/PeerLoadExchange.java
@@ -8,6 +8,7 @@
 import io.samphiregauge.schema.peer.BackendLoad;
 import io.samphiregauge.schema.peer.BackendLoads;
 import io.samphiregauge.schema.peer.CachedPrompt;
+import io.samphiregauge.schema.peer.ServerSpeed;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -58,6 +59,8 @@
     List<GroupMember> members = context.view().members();
     context.schedule(LoadExchange.sendPeriodMs(members.size()), this::sendPeriodically);
     exchange.setOwnDemands(context.room().ownDemands());
+    boolean sharesSpeeds = context.sharesSpeeds();
+    exchange.setOwnSpeeds(sharesSpeeds ? ownSpeeds() : List.of());
     exchange
         .messages(
             members.stream().map(PeerLoadExchange::toPeer).distinct().toList(),
@@ -67,6 +70,28 @@
         .forEach(outgoing -> transport.send(outgoing.addresses(), outgoing.message()));
     // Without messages from others, their loads expire here.
     applyReceivedLoads();
+    if (sharesSpeeds) {
+      applySpeeds();
+    }
+  }
+
+  private List<ServerSpeed> ownSpeeds() {
+    return context.serverLoads().all().stream()
+        .flatMap(load -> load.endSpeedPeriod().stream())
+        .toList();
+  }
+
+  private void applySpeeds() {
+    Map<Integer, ServerSpeed> speeds = new HashMap<>();
+    exchange
+        .fleetSpeeds(DualTimestamp.monotonicNowMs())
+        .forEach(speed -> speeds.put(speed.getBackend(), speed));
+    for (ServerLoad load : context.serverLoads().all()) {
+      Optional<ServerSpeed> speed = Optional.ofNullable(speeds.get(load.key()));
+      load.setFleetSpeed(
+          speed.map(ServerSpeed::getResponses).orElse(0),
+          speed.map(ServerSpeed::getSlownessSum).orElse(0.0));
+    }
   }
 
   private static LoadExchange.Peer toPeer(GroupMember member) {
