Mend the findings of the reviews of the merged parts

Quotas: a list of members that was asked for before the last change of the group no longer confirms the membership; after a lapse a bucket begins empty; a new member counts from the answer of its join; teams are passed on while no request asks; a request is refused for good only beyond what is ever lent; an entry that has left takes no team over. Room: servers are narrowed only for a send, after the failure domains are chosen; slots of avoided servers are no room. Waiting: a caller's claim is bounded by its route, requests without content are not taken for repeats, a quiet time does not count as lack of room, and nobody is told to return before the forecast. Flows: they apply only where loads are stale, since in small groups each request finds the best server by itself; before a refusal all domains are compared; credit has a floor. Slowness fades also in a group that has become small. Usage: a stop writes counts whose notice is not confirmed. A partly received body that is refused closes its connection.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/directory/CallerSpread.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/directory/CallerSpread.java
@@ -135,7 +135,7 @@
   private static List<Entry> select(List<Weighted> weighted, String caller) {
     double sum = weighted.stream().mapToDouble(Weighted::weight).sum();
     double largest = weighted.stream().mapToDouble(Weighted::weight).max().orElse(1);
-    int count = (int) Math.max(MIN_LISTED, Math.min(MAX_ADDRESSES, sum / largest));
+    int count = Math.max(MIN_LISTED, (int) Math.min(MAX_ADDRESSES, sum / largest));
     return weighted.stream()
         .sorted(
             Comparator.comparingDouble(
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/Crossing.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/Crossing.java
@@ -34,6 +34,11 @@
         servers -> servers, domain -> CONSTANT_MS, tokens -> CONSTANT_MS, load -> {}, false);
   }
 
+  /** Returns the same costs for a request that may use every failure domain. */
+  Crossing toAnyDomain() {
+    return new Crossing(servers -> servers, requestMs, kvMs, onChosen, priced);
+  }
+
   /** Returns the same with an additional receiver of the chosen server. */
   public Crossing andOnChosen(Consumer<ServerLoad> receiver) {
     return new Crossing(permitted, requestMs, kvMs, onChosen.andThen(receiver), priced);
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerChooser.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerChooser.java
@@ -69,6 +69,14 @@
     this.crossing = crossing;
   }
 
+  /**
+   * Returns a chooser that compares the servers of all failure domains at the same costs. A request
+   * that no permitted server can answer in time is better served elsewhere than refused.
+   */
+  public ServerChooser acrossDomains() {
+    return new ServerChooser(domain, sampling, crossing.toAnyDomain());
+  }
+
   /**
    * How the prompt of a request is prefilled.
    *
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerLoad.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerLoad.java
@@ -215,7 +215,8 @@
    * @param expectedMs time that its service was expected to take, in milliseconds
    */
   void recordSpeed(double tookMs, double expectedMs) {
-    observe(tookMs - expectedMs);
+    // A slow server is no sign of a slow link to its failure domain.
+    observe(tookMs - expectedMs * Math.max(1, slowness()));
     recordSpeedSample(tookMs, expectedMs * slowness);
     double ratio = tookMs / Math.max(1, expectedMs);
     double step = 1 + SLOWNESS_STEP * Math.signum(ratio - slowness);
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/queue/ReturnCalendar.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/queue/ReturnCalendar.java
@@ -99,15 +99,21 @@
    *
    * @param request the refused request
    * @param ratePerMs rate at which requests of its rank are sent, if known
+   * @param minDelayMs time until room is expected, if it is known
    * @param maxDelayMs longest delay that the caller honours
    * @param nowMs monotonic time in milliseconds
    */
-  Booking book(QueuedRequest request, OptionalDouble ratePerMs, long maxDelayMs, long nowMs) {
+  Booking book(
+      QueuedRequest request,
+      OptionalDouble ratePerMs,
+      long minDelayMs,
+      long maxDelayMs,
+      long nowMs) {
     Optional<Told> earlier = told(request, nowMs).filter(told -> told.atMs() > nowMs);
     if (earlier.isPresent()) {
       return new Booking(earlier.orElseThrow().atMs() - nowMs, earlier.orElseThrow().promised());
     }
-    double earliestMs = (double) nowMs + MIN_DELAY_MS;
+    double earliestMs = (double) nowMs + Math.max(MIN_DELAY_MS, minDelayMs);
     double spacingMs =
         ratePerMs.isPresent()
             ? 1 / (ratePerMs.getAsDouble() * RETURN_SHARE)
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/queue/SendRates.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/queue/SendRates.java
@@ -52,6 +52,13 @@
     slice = Math.floorDiv(nowMs, SLICE_MS);
   }
 
+  /**
+   * Records that requests begin to wait: until now, no sends did not mean that there is no room.
+   */
+  void recordWaitBegun(long nowMs) {
+    lastSentMs = Math.max(lastSentMs, nowMs);
+  }
+
   void recordArrived(int rank, long nowMs) {
     advance(nowMs);
     arrived[rank][index(slice)]++;
@@ -78,7 +85,11 @@
     if (observedMs < MIN_OBSERVED_MS) {
       return OptionalDouble.empty();
     }
-    double total = (double) Math.max(1, Arrays.stream(sent).sum()) / observedMs;
+    long sends = Arrays.stream(sent).sum();
+    if (sends == 0 && nowMs - lastSentMs < MIN_OBSERVED_MS) {
+      return OptionalDouble.empty();
+    }
+    double total = (double) Math.max(1, sends) / observedMs;
     // A longer pause than usual shows earlier than the rate of two seconds that places are gone.
     total =
         Math.min(total, MAX_INTERVALS_WITHOUT_SEND / Math.max(1.0, (double) nowMs - lastSentMs));
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/queue/ServiceQueue.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/queue/ServiceQueue.java
@@ -107,6 +107,9 @@
     if (waiting.isEmpty() && freePlaces > 0) {
       return List.of(send(arrived, "room", nowMs));
     }
+    if (waiting.isEmpty()) {
+      rates.recordWaitBegun(nowMs);
+    }
     waiting.put(arrived.number(), arrived);
     waitingBytes += request.bytes();
     List<QueueDecision> decisions = new ArrayList<>(advance(freePlaces, nowMs));
@@ -172,17 +175,18 @@
    * should return.
    *
    * @param request the request
+   * @param forecastMs time until room for it is expected, in milliseconds
    * @param nowMs monotonic time in milliseconds
    * @return the time in milliseconds
    */
-  public long returnAfterMs(QueuedRequest request, long nowMs) {
-    return book(request, nowMs).delayMs();
+  public long returnAfterMs(QueuedRequest request, long forecastMs, long nowMs) {
+    return book(request, forecastMs, nowMs).delayMs();
   }
 
-  private ReturnCalendar.Booking book(QueuedRequest request, long nowMs) {
+  private ReturnCalendar.Booking book(QueuedRequest request, long forecastMs, long nowMs) {
     long maxDelayMs = (request.deadlineAtMs() - nowMs) / RETURN_DIVISOR;
     OptionalDouble rate = rates.perMs(request.work().rank(), nowMs);
-    return calendar.book(request, rate, maxDelayMs, nowMs);
+    return calendar.book(request, rate, forecastMs, maxDelayMs, nowMs);
   }
 
   private void noteCall(long nowMs) {
@@ -241,7 +245,7 @@
     long forecastMs = Math.round(forecastMs(refused, nowMs));
     remove(refused.number());
     servedShares.record(refused, false);
-    ReturnCalendar.Booking booking = book(request, nowMs);
+    ReturnCalendar.Booking booking = book(request, 0, nowMs);
     return new QueueDecision.Refuse(
         request,
         reason,
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/quota/CreditExchange.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/quota/CreditExchange.java
@@ -269,6 +269,8 @@
     boolean accepted =
         quota.isPresent()
             && lease.holds(now)
+            // An entry that has left must not lend again.
+            && members.stream().anyMatch(member -> member.vm().equals(self.vm()))
             && roster.receive(team, handover.getVm(), handover.getStartMs());
     if (accepted) {
       lender.adopt(team, quota.orElseThrow(), level.getAmount(), now.monotonicMs());
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/quota/LenderRoster.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/quota/LenderRoster.java
@@ -84,6 +84,8 @@
     boolean gap = !lease.memberSince().equals(memberSince) || !lease.holds(now);
     memberSince = lease.memberSince();
     if (gap) {
+      // Without what was lent before, a bucket must not begin full.
+      forgottenAtMs = now.monotonicMs();
       receivedTeams.clear();
     }
     return gap;
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/quota/MembershipTracker.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/quota/MembershipTracker.java
@@ -30,7 +30,8 @@
    */
   public void recordJoined(DualTimestamp sentAt, DualTimestamp answeredAt) {
     if (answeredAt.millisSince(lastJoinSent) >= leaseMs) {
-      memberSince = sentAt;
+      // Others can read the new member only once the store has executed the join.
+      memberSince = answeredAt;
       successor = false;
     }
     lastJoinSent = sentAt;
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/quota/QuotaBorrower.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/quota/QuotaBorrower.java
@@ -73,7 +73,7 @@
    */
   public Optional<QuotaDecision<R>> submit(
       R request, String team, TeamQuota quota, long cost, DualTimestamp now) {
-    if (quota.isBeyondBurst(cost)) {
+    if (cost > tolerance.largestLoan(quota)) {
       return Optional.of(new QuotaDecision<>(request, new Refused(Reason.BEYOND_BURST, 0, 0)));
     }
     QuotaAccount account = account(team, quota);
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/quota/QuotaBucket.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/quota/QuotaBucket.java
@@ -12,8 +12,8 @@
 
   /**
    * Refused requests are told to return one after the other over this time, then from its start
-   * again. Credit accrues all the time and is not reserved, so that a longer wait would only make
-   * callers leave that could get some.
+   * again. Credit accrues all the time and is not reserved, so a longer wait would exceed the
+   * deadlines of callers that could be served meanwhile.
    */
   private static final double RETURN_SPREAD_S = 2;
 
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/quota/QuotaTolerance.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/quota/QuotaTolerance.java
@@ -55,6 +55,11 @@
     return Math.min(quota.burst(), DEBT_PART * excess(quota));
   }
 
+  /** Returns the largest cost that can ever be lent; more than that never accrues. */
+  double largestLoan(TeamQuota quota) {
+    return Math.max(1, depth(quota) + maxDebt(quota));
+  }
+
   /** Returns the part of its last window's credit that an entry may use without its lender. */
   double silenceRatio(TeamQuota quota) {
     return SILENCE_PART * excess(quota) / windowQuota(quota);
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/room/ServicePlaces.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/room/ServicePlaces.java
@@ -159,13 +159,17 @@
     return EQUAL_PART * equal + (1 - EQUAL_PART) * byDemand;
   }
 
-  /** Returns the candidates that are expected to accept a request; all of them if none is. */
+  /**
+   * Returns the candidates that have not rejected a request lately; all if none of these serves.
+   */
   List<ServerLoad> withRoom(List<ServerLoad> candidates, long nowMs) {
     if (candidates.stream().allMatch(load -> hasRoom(load, nowMs))) {
       return candidates;
     }
     List<ServerLoad> open = candidates.stream().filter(load -> hasRoom(load, nowMs)).toList();
-    return open.stream().anyMatch(load -> !load.server().prefillOnly()) ? open : candidates;
+    boolean canServe =
+        open.stream().anyMatch(load -> !load.server().prefillOnly() && !load.isAvoided(nowMs));
+    return canServe ? open : candidates;
   }
 
   private boolean hasRoom(ServerLoad load, long nowMs) {
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/site/TeamQuota.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/site/TeamQuota.java
@@ -26,9 +26,4 @@
         prompt.map(counts -> (long) counts.tokens() + counts.maxOutputTokens()).orElse(plainTokens);
     return Math.max(1, tokens);
   }
-
-  /** Returns whether a request can never pass, because more than its cost never accrues. */
-  public boolean isBeyondBurst(long cost) {
-    return cost > Math.max(1, burst);
-  }
 }
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/spill/ServiceSpill.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/spill/ServiceSpill.java
@@ -173,7 +173,9 @@
 
   private void spend(String target, double work) {
     if (!target.equals(domain)) {
-      credits.merge(target, -work, Double::sum);
+      // Without own servers more leaves than the flow allows; that is not owed for long.
+      double least = -Math.max(work, MAX_BURST * usualWork);
+      credits.merge(target, -work, (credit, spent) -> Math.max(least, credit + spent));
     }
   }
 
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/dispatch/CrossingCostTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/dispatch/CrossingCostTest.java
@@ -55,6 +55,25 @@
     assertThat(prefillServer(chooser(0.01), engines)).isEqualTo(far);
   }
 
+  /** Guards against a refusal in a full domain while another one has room, but gets no flow. */
+  @Test
+  void everyDomainIsComparedBeforeARefusal() {
+    ServerLoad near = engine("a1", EngineStage.DECODE, false);
+    ServerLoad far = engine("b1", EngineStage.DECODE, false);
+    near.setOtherEntriesLoad(16, 900_000);
+    Crossing ownDomain =
+        new Crossing(
+            servers -> servers.stream().filter(load -> load.server().domain().equals("a")).toList(),
+            domain -> 90,
+            tokens -> tokens * 0.01,
+            load -> {},
+            true);
+    ServerChooser chooser = new ServerChooser("a", Sampling.all(), ownDomain);
+    List<ServerLoad> engines = List.of(near, far);
+    assertThat(prefillServer(chooser, engines)).isEqualTo(near);
+    assertThat(prefillServer(chooser.acrossDomains(), engines)).isEqualTo(far);
+  }
+
   private static ServerLoad prefillServer(ServerChooser chooser, List<ServerLoad> engines) {
     return chooser.planPrefill(PROMPT, engines, RATES, NOW_MS).orElseThrow().server();
   }
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/queue/ServiceQueueTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/queue/ServiceQueueTest.java
@@ -166,6 +166,12 @@
     return refusals.get(0);
   }
 
+  /** Guards against a caller that returns before the forecast and is refused again. */
+  @Test
+  void nobodyIsToldToReturnBeforeRoomIsExpected() {
+    assertThat(queue.returnAfterMs(request(0, 2_000), 700, 2_000)).isGreaterThanOrEqualTo(700);
+  }
+
   /** Guards against a caller's return at another entry that is taken for a first attempt. */
   @Test
   void theAgeOfACallerShowsInTheTimeThatItStillWaits() {
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GroupFollower.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GroupFollower.java
@@ -17,8 +17,9 @@
  * Keeps this entry in the group of entries and tracks the other members. Runs on the control
  * thread.
  *
- * <p>Membership only indicates which entries are probably running. It grants no authority, since
- * the store may drop members during an outage.
+ * <p>The list indicates which entries are probably running, since the store may drop members during
+ * an outage. Authority to lend the quotas of teams rests on {@link #lease}, which counts from the
+ * last join whose list this entry has.
  */
 final class GroupFollower {
   private static final Logger LOG = System.getLogger(GroupFollower.class.getName());
@@ -49,6 +50,8 @@
   private List<GroupMember> members;
   private long silentReaders;
   private long generation;
+  private long startedReads;
+  private long appliedRead;
   private boolean membersStale = true;
   private boolean stopped;
   private DualTimestamp lastJoinFailure = DualTimestamp.NEVER;
@@ -123,13 +126,22 @@
   }
 
   private void readMembers(DualTimestamp joinSentAt) {
+    long wanted = generation;
+    long number = ++startedReads;
     memberExchange.read(
-        generation,
+        wanted,
         texts -> {
-          membersStale = false;
+          if (number < appliedRead) {
+            return;
+          }
+          appliedRead = number;
+          // A list that was asked for before the last change does not confirm the membership.
+          boolean current = wanted == generation;
+          membersStale = !current;
           onMembersRead(texts);
-          // The list is that of this generation or a later one, whoever has read it.
-          confirmList(joinSentAt);
+          if (current) {
+            confirmList(joinSentAt);
+          }
         });
   }
 
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/UsageRecorder.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/UsageRecorder.java
@@ -41,6 +41,7 @@
   private final Supplier<DualTimestamp> clock;
   private final JumpTolerantClock wallClock;
   private final UsageAggregator aggregator = new UsageAggregator();
+  private int pendingWrites;
   private boolean hasUnwrittenCounts;
   private boolean retryScheduled;
 
@@ -102,7 +103,7 @@
    * @param whenDone called when they are written, or the write has failed
    */
   void flushDirectly(Runnable whenDone) {
-    if (hasUnwrittenCounts) {
+    if (hasUnwrittenCounts || pendingWrites > 0) {
       writeRecord(exchange::append, whenDone);
     } else {
       whenDone.run();
@@ -135,11 +136,13 @@
 
   private void writeRecord(RecordWriter writer, Runnable whenDone) {
     hasUnwrittenCounts = false;
+    pendingWrites++;
     UsageRecord record =
         new UsageRecord(self.vm(), self.startMs(), aggregator.recentWindows(processKey));
     writer.write(
         record,
         stored -> {
+          pendingWrites--;
           if (!stored) {
             hasUnwrittenCounts = true;
             scheduleRetry();
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/AttemptPlanner.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/AttemptPlanner.java
@@ -56,9 +56,16 @@
    *     {@link ServersPaused} if all servers that could have asked for a pause
    */
   Result<ForwardAttempt> next(long nowMs) {
+    ServerChooser chooser = context.chooser(request);
+    Result<ForwardAttempt> planned = next(chooser, nowMs);
+    boolean overloaded =
+        planned.failure().filter(f -> f.type().equals(Refusal.Overloaded.TYPE)).isPresent();
+    return overloaded ? next(chooser.acrossDomains(), nowMs) : planned;
+  }
+
+  private Result<ForwardAttempt> next(ServerChooser chooser, long nowMs) {
     List<ServerLoad> candidates =
         context.serverLoads().candidates(request.service(), triedServers, nowMs);
-    ServerChooser chooser = context.chooser(request);
     if (request.prompt().isEmpty()) {
       return chooser
           .chooseServer(candidates, nowMs)
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/DomainTraffic.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/DomainTraffic.java
@@ -54,9 +54,14 @@
     loadAgeMs = ageMs;
   }
 
-  /** Returns which servers a request may use in its next attempt. */
+  /**
+   * Returns which servers a request may use in its next attempt. While the loads of all entries are
+   * fresh, each request by itself finds the server that answers it first.
+   */
   Crossing crossing(RoutedRequest request) {
-    return cost.map(known -> crossing(request, known)).orElseGet(Crossing::atConstantCost);
+    return cost.filter(known -> context.areLoadsStale())
+        .map(known -> crossing(request, known))
+        .orElseGet(Crossing::atConstantCost);
   }
 
   private Crossing crossing(RoutedRequest request, TrafficCost known) {
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
@@ -193,7 +193,11 @@
   /** Returns what chooses the server of the next attempt of a request. */
   ServerChooser chooser(RoutedRequest request) {
     return new ServerChooser(
-        settings.getFailureDomain(), sampling, domainTraffic.crossing(request));
+        settings.getFailureDomain(),
+        // Narrowed after the failure domains are chosen, and only for a send.
+        (servers, nowMs) ->
+            sampling.candidates(room.narrow(request.service(), servers, nowMs), nowMs),
+        domainTraffic.crossing(request));
   }
 
   DomainTraffic domainTraffic() {
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/PeerLoadExchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/PeerLoadExchange.java
@@ -59,8 +59,8 @@
     List<GroupMember> members = context.view().members();
     context.schedule(LoadExchange.sendPeriodMs(members.size()), this::sendPeriodically);
     exchange.setOwnDemands(context.room().ownDemands());
-    boolean sharesSpeeds = context.sharesSpeeds();
-    exchange.setOwnSpeeds(sharesSpeeds ? ownSpeeds() : List.of());
+    List<ServerSpeed> ownSpeeds = ownSpeeds();
+    exchange.setOwnSpeeds(context.sharesSpeeds() ? ownSpeeds : List.of());
     exchange
         .messages(
             members.stream().map(PeerLoadExchange::toPeer).distinct().toList(),
@@ -70,9 +70,7 @@
         .forEach(outgoing -> transport.send(outgoing.addresses(), outgoing.message()));
     // Without messages from others, their loads expire here.
     applyReceivedLoads();
-    if (sharesSpeeds) {
-      applySpeeds();
-    }
+    applySpeeds();
   }
 
   private List<ServerSpeed> ownSpeeds() {
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/QueuedRequestFactory.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/QueuedRequestFactory.java
@@ -9,6 +9,7 @@
 import io.samphiregauge.core.site.Team;
 import io.samphiregauge.core.suspect.Fingerprint;
 import java.util.List;
+import java.util.OptionalLong;
 
 /** Describes routed requests for the decisions of a queue. */
 final class QueuedRequestFactory {
@@ -25,7 +26,12 @@
   static QueuedRequest create(
       RoutedRequest routed, long number, long givesUpAtMs, CallerAges callerAges) {
     long arrivedAtMs = routed.arrivedAt().monotonicMs();
-    long ageMs = callerAges.record(routed.route().name(), routed.meta().deadlineMs());
+    // Whatever a caller claims, the route bounds how long it waits.
+    OptionalLong remainingMs =
+        routed.meta().deadlineMs().stream()
+            .map(ms -> Math.min(ms, routed.route().timeoutMs()))
+            .findFirst();
+    long ageMs = callerAges.record(routed.route().name(), remainingMs);
     WorkRequest work =
         new WorkRequest(
             number,
@@ -41,14 +47,20 @@
         work,
         routed.route().name(),
         lastOf(routed.prompt().map(Prompt::sharedParts).orElse(List.of())),
-        callerKey(routed),
+        callerKey(routed, number),
         routed.deadlineAtMs(),
         routed.httpRequest().content().readableBytes(),
         ageMs);
   }
 
-  /** A caller repeats a request with the same path and content, and with another identifier. */
-  private static String callerKey(RoutedRequest routed) {
+  /**
+   * A caller repeats a request with the same path and content, and with another identifier. A
+   * request without content has a key of its own, because many callers send the same one.
+   */
+  private static String callerKey(RoutedRequest routed, long number) {
+    if (routed.prompt().isEmpty() && !routed.httpRequest().content().isReadable()) {
+      return "request " + number;
+    }
     String team = routed.meta().teamKey().orElse("");
     String path = routed.httpRequest().method() + " " + routed.httpRequest().uri();
     return routed
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/QuotaExchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/QuotaExchange.java
@@ -75,6 +75,11 @@
     apply(exchange.receive(message, now));
   }
 
+  /** Adopts the newest view. */
+  void refresh(DualTimestamp now) {
+    update(now);
+  }
+
   private void update(DualTimestamp now) {
     GatewayView view = context.view();
     if (!view.members().equals(lastView.members())) {
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/QuotaGate.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/QuotaGate.java
@@ -31,7 +31,10 @@
   private static final int TOO_MANY_REQUESTS = 429;
   private static final long MS_PER_S = 1_000;
 
-  /** Without settings, a quota holds exactly in each window of this length. */
+  /** Half of the time between two joins of the group. */
+  private static final long REFRESH_MS = 500;
+
+  /** Window without settings; then no more than what accrues in 0.1 s is lent ahead. */
   private static final int DEFAULT_WINDOW_S = 10;
 
   /** Refused callers return spread over this part of the time, so that they do not collide. */
@@ -68,6 +71,15 @@
     exchange =
         Optional.of(
             new QuotaExchange(context, self, tolerance, transport::send, this::onCredit, metrics));
+    refresh();
+  }
+
+  /** Notices changes of the group also while no request needs credit, to pass teams on in time. */
+  private void refresh() {
+    context.schedule(REFRESH_MS, this::refresh);
+    if (context.view().config().filter(config -> !config.quotas().isEmpty()).isPresent()) {
+      exchange.ifPresent(connected -> connected.refresh(DualTimestamp.now()));
+    }
   }
 
   /**
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RequestHold.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RequestHold.java
@@ -109,7 +109,7 @@
       return error;
     }
     long forecastMs = error.retryAfterMs();
-    long returnAfterMs = context.waitingRoom().returnAfterMs(queued.orElseThrow());
+    long returnAfterMs = context.waitingRoom().returnAfterMs(queued.orElseThrow(), forecastMs);
     logReturn(forecastMs, returnAfterMs);
     return ErrorResponse.notRun(error.type(), error.message(), returnAfterMs);
   }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServerLoadTable.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServerLoadTable.java
@@ -105,14 +105,9 @@
    * @param service name of the service
    * @param triedIncarnations servers that the request has already tried
    * @param nowMs monotonic time in milliseconds
-   * @return announced servers that were not tried, do not leave, and do not want a pause; of these
-   *     only such with room, if any
+   * @return announced servers that were not tried, do not leave, and do not want a pause
    */
   List<ServerLoad> candidates(String service, Set<String> triedIncarnations, long nowMs) {
-    return room.narrow(service, usable(service, triedIncarnations, nowMs), nowMs);
-  }
-
-  private List<ServerLoad> usable(String service, Set<String> triedIncarnations, long nowMs) {
     List<ServerLoad> all = byService.getOrDefault(service, List.of());
     if (triedIncarnations.isEmpty() && notices.isEmpty()) {
       return all;
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/SlotRoom.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/SlotRoom.java
@@ -45,7 +45,10 @@
       return Integer.MAX_VALUE;
     }
     if (!stale.getAsBoolean()) {
+      // Nothing is sent to an avoided server while others respond, so its slots are no room.
+      boolean allAvoided = generating.stream().allMatch(load -> load.isAvoided(nowMs));
       return generating.stream()
+          .filter(load -> allAvoided || !load.isAvoided(nowMs))
           .mapToInt(load -> Math.max(0, load.server().slots() - load.totalInFlight()))
           .sum();
     }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/WaitingRoom.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/WaitingRoom.java
@@ -107,10 +107,11 @@
    * Returns when a refused caller should return.
    *
    * @param request its request, which does not wait
+   * @param forecastMs time until room for it is expected, in milliseconds
    */
-  long returnAfterMs(QueuedRequest request) {
+  long returnAfterMs(QueuedRequest request, long forecastMs) {
     long nowMs = clock.getAsLong();
-    return queueOf(request.work().service(), nowMs).returnAfterMs(request, nowMs);
+    return queueOf(request.work().service(), nowMs).returnAfterMs(request, forecastMs, nowMs);
   }
 
   /** Decides on the waiting requests soon, since room may have become free. */
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/BodyMemoryGate.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/BodyMemoryGate.java
@@ -155,6 +155,10 @@
 
   @Override
   public void write(ChannelHandlerContext ctx, Object part, ChannelPromise promise) {
+    if (part instanceof HttpResponse head && refused) {
+      // Parts of the body may have been passed on, which the next request must not follow.
+      HttpUtil.setKeepAlive(head, false);
+    }
     boolean interim =
         part instanceof HttpResponse head
             && head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
