--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/room/PlaceLimit.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/room/PlaceLimit.java
@@ -11,8 +11,8 @@
  */
 public final class PlaceLimit {
   /**
-   * Places per slot before the first rejection: one request that runs and two that wait. Two rounds
-   * of waiting requests keep a server busy until places are given back; more only wait longer.
+   * Places per slot before the first rejection: one request that runs and one that waits. A round
+   * of waiting requests keeps a server busy until places are given back; more only wait longer.
    */
   static final int MAX_PLACES_PER_SLOT = 2;
 
