Check the field lines of each response head

Seen: a response whose head has a blank or a tab in the name of a field, or before the colon, reaches the caller, with the line passed on under a part of its name. "Content-Length :" and "Content-Length 2:" count as Content-Length and decide where the body ends. A line that begins with a blank becomes part of the value before it. Cause: for responses, Netty ends a field name at its first blank and joins folded lines; a name with a blank needs no colon. Change: each line of a head has to be a token, a colon and text; interim heads too. RFC 9112, section 5.2, allows a gateway to reject folded lines.

--- a/samphiregauge-daemon/src/test/java/io/samphiregauge/daemon/traffic/BrokenAnswerTest.java
+++ b/samphiregauge-daemon/src/test/java/io/samphiregauge/daemon/traffic/BrokenAnswerTest.java
@@ -117,7 +117,16 @@
   }
 
   @ParameterizedTest
-  @ValueSource(strings = {"HTTP/1.1 000 X\r\n", "HTTP/1.1 600 X\r\n", "\u0000HTTP/1.1 200 X\r\n"})
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 000 X\r\n",
+        "HTTP/1.1 600 X\r\n",
+        "\u0000HTTP/1.1 200 X\r\n",
+        "HTTP/1.1 200 X\r\nX Note: a\r\n",
+        "HTTP/1.1 200 X\r\nX\u0001Note: a\r\n",
+        "HTTP/1.1 200 X\r\nX-Note : a\r\n",
+        "HTTP/1.1 200 X\r\nContent-Length : 2\r\n"
+      })
   void answerWithBrokenHeadIsNotDelivered(String start) throws Exception {
     answerAll(start + STREAM + "Content-Length: 15\r\n\r\ndata: whole\n\n\n\n", false);
     for (String request : requests()) {
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/ResponseCodec.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/ResponseCodec.java
@@ -50,32 +50,40 @@
     }
   }
 
-  /** Decodes responses, checks their status lines and detects the boundaries between them. */
+  /** Decodes responses, checks their heads and detects the boundaries between them. */
   static final class Decoder extends HttpResponseDecoder {
+    /** Where the next byte belongs. */
+    private enum Position {
+      BETWEEN_RESPONSES,
+      HEAD,
+      BODY
+    }
+
     private boolean headRequest;
-    private boolean withinResponse;
+    private Position position = Position.BETWEEN_RESPONSES;
 
     Decoder(HttpDecoderConfig config) {
       super(config);
     }
 
     boolean isBetweenResponses() {
-      return !withinResponse && actualReadableBytes() == 0;
+      return position == Position.BETWEEN_RESPONSES && actualReadableBytes() == 0;
     }
 
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out)
         throws Exception {
-      if (!withinResponse) {
-        ResponseHeadSyntax.check(buffer);
+      if (position != Position.BODY) {
+        ResponseHeadSyntax.check(buffer, position == Position.BETWEEN_RESPONSES);
       }
-      int bytesBefore = buffer.readableBytes();
+      int start = buffer.readerIndex();
       int partsBefore = out.size();
       super.decode(ctx, buffer, out);
       if (out.size() > partsBefore) {
-        withinResponse = !(out.get(out.size() - 1) instanceof LastHttpContent);
-      } else if (buffer.readableBytes() < bytesBefore) {
-        withinResponse = true;
+        boolean complete = out.get(out.size() - 1) instanceof LastHttpContent;
+        position = complete ? Position.BETWEEN_RESPONSES : Position.BODY;
+      } else if (position == Position.BETWEEN_RESPONSES && buffer.readerIndex() > start) {
+        position = Position.HEAD;
       }
     }
 
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/ResponseHeadSyntax.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/ResponseHeadSyntax.java
@@ -8,49 +8,73 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * Checks the status line of a response before Netty decodes it. Netty skips control bytes in front
- * of it, and accepts any number as a status and all versions, so that bytes that are no response
- * could reach a caller (RFC 9112, section 4).
+ * Checks the lines of a response head before Netty decodes them. Netty skips control bytes in front
+ * of a status line, accepts any number as a status and all versions, and cuts the name of a field
+ * at its first blank, so that a broken line could reach a caller or determine where the body ends
+ * (RFC 9112, sections 4 and 5).
  */
 final class ResponseHeadSyntax {
   private static final ByteBuf PROTOCOL =
       Unpooled.unreleasableBuffer(Unpooled.copiedBuffer("HTTP/1.", StandardCharsets.US_ASCII));
 
   private static final byte DELETE = 0x7f;
+  private static final String TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~";
 
   /** Bytes from the start of a status line to the end of its status. */
   private static final int STATUS_END = "HTTP/1.1 200".length();
 
+  private static final ByteProcessor IS_TOKEN = ResponseHeadSyntax::isToken;
   private static final ByteProcessor IS_TEXT = ResponseHeadSyntax::isText;
 
   private ResponseHeadSyntax() {}
 
   /**
-   * Checks the status line as far as a buffer holds it.
+   * Checks the complete lines of a head that a buffer holds.
    *
-   * @param buffer the buffer, which starts with a response; its indexes are not changed
-   * @throws IllegalArgumentException if the line is not valid, or the first byte is not its start
+   * @param buffer the buffer, which starts with a line; its indexes are not changed
+   * @param fromStatusLine whether the first line is the status line
+   * @throws IllegalArgumentException if a line is not valid, or the first byte is not the start of
+   *     a status line
    */
-  static void check(ByteBuf buffer) {
+  static void check(ByteBuf buffer, boolean fromStatusLine) {
     int start = buffer.readerIndex();
-    if (buffer.isReadable() && buffer.getByte(start) != PROTOCOL.getByte(0)) {
+    if (fromStatusLine && buffer.isReadable() && buffer.getByte(start) != PROTOCOL.getByte(0)) {
       throw new IllegalArgumentException("the response does not start with a status line");
     }
-    int lineFeed = buffer.indexOf(start, buffer.writerIndex(), HttpConstants.LF);
-    if (lineFeed < 0) {
-      return;
-    }
-    if (!isStatusLine(buffer, start, endOfLine(buffer, start, lineFeed))) {
-      throw new IllegalArgumentException("the response has an invalid status line");
+    boolean expectsStatusLine = fromStatusLine;
+    int lineFeed = indexOfLineFeed(buffer, start);
+    while (lineFeed >= 0) {
+      int end = endOfLine(buffer, start, lineFeed);
+      if (end == start && !expectsStatusLine) {
+        return;
+      }
+      if (expectsStatusLine) {
+        checkStatusLine(buffer, start, end);
+      } else {
+        checkFieldLine(buffer, start, end);
+      }
+      expectsStatusLine = false;
+      start = lineFeed + 1;
+      lineFeed = indexOfLineFeed(buffer, start);
     }
   }
 
+  private static int indexOfLineFeed(ByteBuf buffer, int start) {
+    return buffer.indexOf(start, buffer.writerIndex(), HttpConstants.LF);
+  }
+
   /** Returns the index after the last byte of a line, without its line break. */
   private static int endOfLine(ByteBuf buffer, int start, int lineFeed) {
     boolean carriageReturn = lineFeed > start && buffer.getByte(lineFeed - 1) == HttpConstants.CR;
     return carriageReturn ? lineFeed - 1 : lineFeed;
   }
 
+  private static void checkStatusLine(ByteBuf buffer, int start, int end) {
+    if (!isStatusLine(buffer, start, end)) {
+      throw new IllegalArgumentException("the response has an invalid status line");
+    }
+  }
+
   /** Returns whether a line is a protocol, a status from 100 to 599, and an optional reason. */
   private static boolean isStatusLine(ByteBuf buffer, int start, int end) {
     int protocolBytes = PROTOCOL.readableBytes();
@@ -73,6 +97,24 @@
     return value >= first && value <= last;
   }
 
+  private static void checkFieldLine(ByteBuf buffer, int start, int end) {
+    int nameEnd = buffer.forEachByte(start, end - start, IS_TOKEN);
+    boolean valid =
+        nameEnd > start
+            && buffer.getByte(nameEnd) == HttpConstants.COLON
+            && isText(buffer, nameEnd, end);
+    if (!valid) {
+      throw new IllegalArgumentException("the response has an invalid field line");
+    }
+  }
+
+  private static boolean isToken(byte value) {
+    return isInRange(value, 'a', 'z')
+        || isInRange(value, 'A', 'Z')
+        || isInRange(value, '0', '9')
+        || TOKEN_SYMBOLS.indexOf(value) >= 0;
+  }
+
   /** Returns whether bytes have no control byte other than a tab. */
   private static boolean isText(ByteBuf buffer, int start, int end) {
     return buffer.forEachByte(start, end - start, IS_TEXT) < 0;
--- a/samphiregauge-net/src/test/java/io/samphiregauge/net/BrokenAnswerTest.java
+++ b/samphiregauge-net/src/test/java/io/samphiregauge/net/BrokenAnswerTest.java
@@ -137,6 +137,53 @@
     assertNoAnswer(exchange(client, "HTTP/1.1 102 Processing\r\n\r\n" + statusLine + BODY));
   }
 
+  static Stream<Arguments> brokenFieldLines() {
+    return forEachClient(
+        "X Note: a\r\n",
+        "X-Note : a\r\n",
+        "X-Note\t: a\r\n",
+        " X-Note: a\r\n",
+        "\tX-Note: a\r\n",
+        "X\tNote: a\r\n",
+        "X-Note\u0000: a\r\n",
+        "X\u0001Note: a\r\n",
+        "X\u000bNote: a\r\n",
+        "X-Note\u000b: a\r\n",
+        "\u000bX-Note: a\r\n",
+        "X\u007fNote: a\r\n",
+        "X\u00a0Note: a\r\n",
+        "X\rNote: a\r\n",
+        "X(Note): a\r\n",
+        ": a\r\n",
+        "X-Note\r\n",
+        "X Note\r\n",
+        "X-Note: a\u0000b\r\n",
+        "X-Note: a\u0001b\r\n",
+        "X-Note: a\rb\r\n",
+        "Content-Length : 2\r\n",
+        "Content-Length 2: 2\r\n",
+        "Content-Length\u000b: 2\r\n",
+        "Transfer-Encoding : chunked\r\n");
+  }
+
+  @ParameterizedTest
+  @MethodSource("brokenFieldLines")
+  void brokenFieldLineIsNoAnswer(Client client, String fieldLine) throws Exception {
+    assertNoAnswer(exchange(client, OK + fieldLine + BODY));
+  }
+
+  @ParameterizedTest
+  @MethodSource("brokenFieldLines")
+  void brokenLastFieldLineIsNoAnswer(Client client, String fieldLine) throws Exception {
+    assertNoAnswer(exchange(client, OK + "X-First: a\r\n" + fieldLine + "\r\nok"));
+  }
+
+  @ParameterizedTest
+  @MethodSource("brokenFieldLines")
+  void brokenFieldLineOfInterimHeadIsNoAnswer(Client client, String fieldLine) throws Exception {
+    assertNoAnswer(exchange(client, "HTTP/1.1 102 X\r\n" + fieldLine + "\r\n" + OK + BODY));
+  }
+
   static Stream<Arguments> brokenLengths() {
     return forEachClient(
         "Content-Length: 2\r\nContent-Length: 3\r\n\r\nok",
