Check the framing of chunked response bodies

Seen: a server sends a chunk that is longer than its size, and the caller gets the first bytes as a whole answer. Sizes like "4 7" and "" do the same, as does a trailer with a blank in a name. A server that sends bytes without end behind the data of a chunk keeps its connection until the time limit of the route, and the caller gets 504 only then. Cause: Netty 4.1.121 skips all bytes up to the line feed behind the data of a chunk, with no limit, ignores the rest of a size behind a blank, and lets sizes of nine digits overflow. Change: ChunkedBodySyntax checks the bytes of a chunked body that Netty has decoded; parts of invalid bytes are dropped, and the request counts as lost. Blanks and extensions behind a size stay allowed.

--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/ResponseCodec.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/ResponseCodec.java
@@ -11,8 +11,11 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Encodes requests and decodes responses, one request at a time. Unlike Netty's client codec, it
@@ -50,7 +53,7 @@
     }
   }
 
-  /** Decodes responses, checks their heads and detects the boundaries between them. */
+  /** Decodes responses, checks their syntax and detects the boundaries between them. */
   static final class Decoder extends HttpResponseDecoder {
     /** Where the next byte belongs. */
     private enum Position {
@@ -61,6 +64,7 @@
 
     private boolean headRequest;
     private Position position = Position.BETWEEN_RESPONSES;
+    private Optional<ChunkedBodySyntax> chunks = Optional.empty();
 
     Decoder(HttpDecoderConfig config) {
       super(config);
@@ -79,14 +83,38 @@
       int start = buffer.readerIndex();
       int partsBefore = out.size();
       super.decode(ctx, buffer, out);
+      checkChunks(buffer, start, out, partsBefore);
       if (out.size() > partsBefore) {
-        boolean complete = out.get(out.size() - 1) instanceof LastHttpContent;
-        position = complete ? Position.BETWEEN_RESPONSES : Position.BODY;
+        updatePosition(out.get(partsBefore), out.get(out.size() - 1));
       } else if (position == Position.BETWEEN_RESPONSES && buffer.readerIndex() > start) {
         position = Position.HEAD;
       }
     }
 
+    /** Checks the bytes of a chunked body that were decoded; if they are invalid, no part stays. */
+    private void checkChunks(ByteBuf buffer, int start, List<Object> out, int partsBefore) {
+      try {
+        chunks.ifPresent(syntax -> syntax.check(buffer, start, buffer.readerIndex()));
+      } catch (IllegalArgumentException e) {
+        while (out.size() > partsBefore) {
+          ReferenceCountUtil.release(out.remove(out.size() - 1));
+        }
+        throw e;
+      }
+    }
+
+    private void updatePosition(Object firstPart, Object lastPart) {
+      if (lastPart instanceof LastHttpContent) {
+        position = Position.BETWEEN_RESPONSES;
+        chunks = Optional.empty();
+        return;
+      }
+      position = Position.BODY;
+      if (firstPart instanceof HttpResponse head && HttpUtil.isTransferEncodingChunked(head)) {
+        chunks = Optional.of(new ChunkedBodySyntax());
+      }
+    }
+
     /** Called once for each complete head, before the decoder determines where the body ends. */
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/ResponseHeadSyntax.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/ResponseHeadSyntax.java
@@ -64,7 +64,7 @@
   }
 
   /** Returns the index after the last byte of a line, without its line break. */
-  private static int endOfLine(ByteBuf buffer, int start, int lineFeed) {
+  static int endOfLine(ByteBuf buffer, int start, int lineFeed) {
     boolean carriageReturn = lineFeed > start && buffer.getByte(lineFeed - 1) == HttpConstants.CR;
     return carriageReturn ? lineFeed - 1 : lineFeed;
   }
@@ -97,7 +97,12 @@
     return value >= first && value <= last;
   }
 
-  private static void checkFieldLine(ByteBuf buffer, int start, int end) {
+  /**
+   * Checks a line of a head or a trailer.
+   *
+   * @throws IllegalArgumentException if it is not a name, a colon and a value
+   */
+  static void checkFieldLine(ByteBuf buffer, int start, int end) {
     int nameEnd = buffer.forEachByte(start, end - start, IS_TOKEN);
     boolean valid =
         nameEnd > start
@@ -116,7 +121,7 @@
   }
 
   /** Returns whether bytes have no control byte other than a tab. */
-  private static boolean isText(ByteBuf buffer, int start, int end) {
+  static boolean isText(ByteBuf buffer, int start, int end) {
     return buffer.forEachByte(start, end - start, IS_TEXT) < 0;
   }
 
--- a/samphiregauge-net/src/test/java/io/samphiregauge/net/BrokenAnswerTest.java
+++ b/samphiregauge-net/src/test/java/io/samphiregauge/net/BrokenAnswerTest.java
@@ -210,6 +210,31 @@
     assertNoAnswer(exchange(client, OK + fieldLinesAndBody));
   }
 
+  static Stream<Arguments> brokenChunks() {
+    return forEachClient(
+        "2\r\nokay\r\n0\r\n\r\n",
+        "2\r\nok0\r\n\r\n",
+        "2\r\nok\r\n",
+        "2\r\nok\r\n0\r\n",
+        "2 x\r\nok\r\n0\r\n\r\n",
+        "+2\r\nok\r\n0\r\n\r\n",
+        "0x2\r\nok\r\n0\r\n\r\n",
+        "-2\r\nok\r\n0\r\n\r\n",
+        "2\u0001\r\nok\r\n0\r\n\r\n",
+        "100000000\r\n\r\n",
+        "\r\n2\r\nok\r\n0\r\n\r\n",
+        "2\r\nok\r\n\r\n0\r\n\r\n",
+        "2\r\nok\r\n0\r\nX Note: a\r\n\r\n",
+        "2\r\nok\r\n0\r\nX\u0001: a\r\n\r\n",
+        "2\r\nok\r\n0\r\nX-Note\r\n\r\n");
+  }
+
+  @ParameterizedTest
+  @MethodSource("brokenChunks")
+  void brokenChunksAreNoAnswer(Client client, String chunks) throws Exception {
+    assertNoAnswer(exchange(client, OK + "Transfer-Encoding: chunked\r\n\r\n" + chunks));
+  }
+
   static Stream<Arguments> soundAnswers() {
     return forEachClient(
         OK + BODY,
