--- a/samphiregauge-net/src/test/java/io/samphiregauge/net/EarlyAnswerTest.java
+++ b/samphiregauge-net/src/test/java/io/samphiregauge/net/EarlyAnswerTest.java
@@ -59,6 +59,30 @@
     new CountDownLatch(1).await(ms, MILLISECONDS);
   }
 
+  /** What a server does with its connection after a part of the answer, before it is closed. */
+  @FunctionalInterface
+  private interface Ending {
+    void apply(Socket socket) throws Exception;
+  }
+
+  /** Sends a part of an answer without a length when the upload has begun. */
+  private void assertPartIsNoAnswer(
+      BrokenAnswerTest.Client client, long answerAfterMs, Ending ending) throws Exception {
+    CompletableFuture<Result<String>> result = upload(client);
+    try (Socket socket = server.accept()) {
+      socket.getInputStream().read();
+      pause(answerAfterMs);
+      write(socket, "HTTP/1.1 200 OK\r\n\r\npart");
+      ending.apply(socket);
+    }
+    assertThat(result.get(10, SECONDS).failure()).containsInstanceOf(NetFailure.NoAnswer.class);
+  }
+
+  /** Closing without lingering resets the connection. */
+  private static void resetOnClose(Socket socket) throws IOException {
+    socket.setSoLinger(true, 0);
+  }
+
   /**
    * Guards against a part of an answer that is taken for a whole one. The reset shows as the failed
    * write of the request, and a client that reads on then only sees the end of the connection.
@@ -70,46 +94,35 @@
   })
   void answerThatIsResetDuringTheUploadIsNoAnswer(
       BrokenAnswerTest.Client client, long answerAfterMs, long resetAfterMs) throws Exception {
-    CompletableFuture<Result<String>> result = upload(client);
-    try (Socket socket = server.accept()) {
-      socket.getInputStream().read();
-      pause(answerAfterMs);
-      write(socket, "HTTP/1.1 200 OK\r\n\r\npart");
-      pause(resetAfterMs);
-      // Closing without lingering resets the connection.
-      socket.setSoLinger(true, 0);
-    }
-    assertThat(result.get(10, SECONDS).failure()).containsInstanceOf(NetFailure.NoAnswer.class);
+    assertPartIsNoAnswer(
+        client,
+        answerAfterMs,
+        socket -> {
+          pause(resetAfterMs);
+          resetOnClose(socket);
+        });
   }
 
-  /**
-   * As above, for a server that closes its connection while it holds input that it has not read.
-   */
+  /** As above, for a server that closes its connection while it holds unread input. */
   @ParameterizedTest
   @EnumSource(BrokenAnswerTest.Client.class)
   void answerBeforeACloseWithUnreadInputIsNoAnswer(BrokenAnswerTest.Client client)
       throws Exception {
-    CompletableFuture<Result<String>> result = upload(client);
-    try (Socket socket = server.accept()) {
-      pause(100);
-      write(socket, "HTTP/1.1 200 OK\r\n\r\npart");
-    }
-    assertThat(result.get(10, SECONDS).failure()).containsInstanceOf(NetFailure.NoAnswer.class);
+    assertPartIsNoAnswer(client, 100, socket -> {});
   }
 
   /** As above, for a server that ends its output before the reset. */
   @ParameterizedTest
   @EnumSource(BrokenAnswerTest.Client.class)
   void answerThatEndsBeforeTheResetIsNoAnswer(BrokenAnswerTest.Client client) throws Exception {
-    CompletableFuture<Result<String>> result = upload(client);
-    try (Socket socket = server.accept()) {
-      socket.getInputStream().read();
-      write(socket, "HTTP/1.1 200 OK\r\n\r\npart");
-      socket.shutdownOutput();
-      pause(200);
-      socket.setSoLinger(true, 0);
-    }
-    assertThat(result.get(10, SECONDS).failure()).containsInstanceOf(NetFailure.NoAnswer.class);
+    assertPartIsNoAnswer(
+        client,
+        0,
+        socket -> {
+          socket.shutdownOutput();
+          pause(200);
+          resetOnClose(socket);
+        });
   }
 
   /** Guards against a whole answer that is lost because the server did not read the request. */
