End the servers of the response tests when a connection closes

The servers of BrokenAnswerTest (net and daemon), EarlyAnswerTest and UnreadInputTest read a request head without looking for the end of the connection: if the client closes before the head is complete, the loop never ends and its buffer grows. The server of BrokenAnswerTest (daemon) also stopped for good at the first connection that failed, so that later requests of a case would not have got the answer under test. The net tests share RawRequests.skipHead, which fails at the end of the connection; the daemon's server goes on with the next connection. No assertion changes.

--- a/samphiregauge-daemon/src/test/java/io/samphiregauge/daemon/traffic/BrokenAnswerTest.java
+++ b/samphiregauge-daemon/src/test/java/io/samphiregauge/daemon/traffic/BrokenAnswerTest.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.samphiregauge.net.Address;
+import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -64,12 +65,14 @@
   private void answerAll(String answer, boolean reset) {
     threads.execute(
         () -> {
-          try {
-            while (true) {
+          while (!server.isClosed()) {
+            try {
               answerOne(answer, reset);
+            } catch (IOException e) {
+              // The entry has closed the connection, or the test the server.
+            } catch (InterruptedException e) {
+              return;
             }
-          } catch (IOException | InterruptedException e) {
-            // The test has closed the server.
           }
         });
   }
@@ -89,7 +92,11 @@
   private static void readRequest(InputStream in) throws IOException {
     StringBuilder head = new StringBuilder();
     while (head.indexOf("\r\n\r\n") < 0) {
-      head.append((char) in.read());
+      int next = in.read();
+      if (next < 0) {
+        throw new EOFException("the request head is not complete: " + head);
+      }
+      head.append((char) next);
     }
     Matcher length = LENGTH.matcher(head);
     in.readNBytes(length.find() ? Integer.parseInt(length.group(1)) : 0);
--- a/samphiregauge-net/src/test/java/io/samphiregauge/net/BrokenAnswerTest.java
+++ b/samphiregauge-net/src/test/java/io/samphiregauge/net/BrokenAnswerTest.java
@@ -98,10 +98,7 @@
   }
 
   private static void readRequest(Socket socket) throws IOException {
-    StringBuilder head = new StringBuilder();
-    while (head.indexOf("\r\n\r\n") < 0) {
-      head.append((char) socket.getInputStream().read());
-    }
+    RawRequests.skipHead(socket.getInputStream());
     socket.getInputStream().readNBytes(UPLOAD.length);
   }
 
--- a/samphiregauge-net/src/test/java/io/samphiregauge/net/EarlyAnswerTest.java
+++ b/samphiregauge-net/src/test/java/io/samphiregauge/net/EarlyAnswerTest.java
@@ -7,7 +7,6 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.samphiregauge.core.result.Result;
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -143,16 +142,9 @@
     CompletableFuture<Result<String>> result = upload(client);
     try (Socket socket = server.accept()) {
       write(socket, "HTTP/1.1 200 OK\r\n\r\nwhole");
-      skipHead(socket.getInputStream());
+      RawRequests.skipHead(socket.getInputStream());
       assertThat(socket.getInputStream().readNBytes(UPLOAD_BYTES)).hasSize(UPLOAD_BYTES);
     }
     assertThat(result.get(10, SECONDS).value()).contains("whole");
   }
-
-  private static void skipHead(InputStream in) throws IOException {
-    StringBuilder head = new StringBuilder();
-    while (head.indexOf("\r\n\r\n") < 0) {
-      head.append((char) in.read());
-    }
-  }
 }
--- a/samphiregauge-net/src/test/java/io/samphiregauge/net/UnreadInputTest.java
+++ b/samphiregauge-net/src/test/java/io/samphiregauge/net/UnreadInputTest.java
@@ -64,13 +64,6 @@
     server.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
   }
 
-  private void readRequest() throws IOException {
-    StringBuilder head = new StringBuilder();
-    while (head.indexOf("\r\n\r\n") < 0) {
-      head.append((char) server.getInputStream().read());
-    }
-  }
-
   /** Sends a request, and answers it with the given bytes. */
   private void exchange(HttpConnection connection, HttpMethod method, String answer)
       throws Exception {
@@ -89,7 +82,7 @@
                     },
                     () -> {},
                     failure -> complete.complete(false))));
-    readRequest();
+    RawRequests.skipHead(server.getInputStream());
     write(answer);
     assertThat(complete.get(10, SECONDS)).isTrue();
   }
