--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/ResponseCodec.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/ResponseCodec.java
@@ -19,8 +19,8 @@
 
 /**
  * Encodes requests and decodes responses, one request at a time. Unlike Netty's client codec, it
- * shows whether bytes of a further response have arrived, and rejects responses with ambiguous
- * framing.
+ * shows whether bytes of a further response have arrived, and rejects responses with invalid syntax
+ * or ambiguous framing.
  */
 final class ResponseCodec
     extends CombinedChannelDuplexHandler<ResponseCodec.Decoder, ResponseCodec.Encoder> {
