Read the era of the store from its answers, and log when it changes

The store may come back from a copy; the header Store-Era then rises by one, and offsets are assigned again. Results of reads and appends now carry the era with the offset, and StoreEraWatch logs event=store_restored.

No decision uses the era yet.

--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
@@ -278,7 +278,7 @@
 
   private boolean onLeaseWritten(DutyLease.Write write, AppendResult result, Runnable onAccepted) {
     if (result instanceof AppendResult.Appended appended) {
-      lease.onWriteAccepted(write, appended.endOffset());
+      lease.onWriteAccepted(write, appended.position().endOffset());
       tenure.set(lease.tenure());
       // The answer may have come after the end of the lease that it grants.
       if (lease.isHeld(clock.get())) {
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
@@ -48,7 +48,7 @@
    *
    * @param settings settings of the entry
    * @param self this entry
-   * @param store calls to the store
+   * @param unwatchedStore calls to the store
    * @param valueDecoder decodes configurations and announcements
    * @param fleet calls that only the holder of the duty lease makes, if the platform offers them
    * @param viewPublisher receives each new view, on the control thread
@@ -56,10 +56,12 @@
   public GatewayControl(
       EntrySettings settings,
       GroupMember self,
-      SharedStore store,
+      SharedStore unwatchedStore,
       StoreValueDecoder valueDecoder,
       Optional<FleetApi> fleet,
       Consumer<GatewayView> viewPublisher) {
+    StoreEraWatch storeEra = new StoreEraWatch(control);
+    SharedStore store = storeEra.watch(unwatchedStore);
     this.viewPublisher = viewPublisher;
     this.configFollower =
         new ConfigFollower(
--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/BufferedCall.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/BufferedCall.java
@@ -93,7 +93,10 @@
     if (last) {
       future.complete(
           Result.success(
-              new BufferedResponse(head.orElseThrow().status().code(), body.toByteArray())));
+              new BufferedResponse(
+                  head.orElseThrow().status().code(),
+                  head.orElseThrow().headers(),
+                  body.toByteArray())));
     }
   }
 }
