Bind the duty lease to the era of the store

Cause: the store came back from an older copy. DutyLease took the older record for the register: each process counted on from it to the same token, a restarted process of the VM named there claimed at once, and a former holder acted on under a record that was gone. The conditional write does not protect from this, since offsets are assigned again. Class of fault: authority that rests on what the store has acknowledged, without the history it belongs to.

Tokens now begin with the era. A new era in any answer ends the lease. A record of another era neither grants the lease nor frees it for its own VM, so everybody waits for a whole lease after a restore, and an accepted write counts only in the era for which it was prepared. Windows that may have been reported before the restore are not reported again, since their figures are lost and a second report could differ.

A property test plays restores and late writes against the lease. A record now keeps the lease only if it has the token of the span.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/duty/DutyLease.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/duty/DutyLease.java
@@ -1,7 +1,9 @@
 package io.samphiregauge.core.duty;
 
 import io.samphiregauge.core.DualTimestamp;
+import io.samphiregauge.core.StorePosition;
 import io.samphiregauge.schema.gateway.DutyRecord;
+import io.samphiregauge.schema.gateway.SealedUsage;
 import java.util.List;
 import java.util.Optional;
 
@@ -18,15 +20,23 @@
  * <p>The monotonic clock stops while a VM is suspended, and the wall clock may be set. The holder
  * therefore counts by the clock that advanced further, and gives the lease up if both disagree. A
  * contender counts by the monotonic clock alone, which never runs ahead.
+ *
+ * <p>A restore of the store may remove the newest records of the register. Tokens therefore begin
+ * with the era of the store, a restore ends the lease, and a record of an earlier era grants
+ * nothing: after a restore, everybody waits for a whole lease.
  */
 public final class DutyLease {
   private static final long NO_TOKEN = 0;
 
+  /** Tokens per era: renewals of one era at an interval of a second last for a century. */
+  private static final long TOKENS_PER_ERA = 1L << 32;
+
   private final String vm;
   private final long startMs;
   private final long leaseMs;
   private final long marginMs;
   private Optional<Observation> lastObserved = Optional.empty();
+  private long newestEra = StorePosition.FIRST_ERA;
   private Optional<Tenure> tenure = Optional.empty();
 
   /**
@@ -34,20 +44,28 @@
    *
    * @param value the newest record that could be read
    * @param readable whether that is the record in the register
-   * @param endOffset end offset of the register
+   * @param position end of the register
    * @param observedAt time of the observation
    */
   private record Observation(
-      Optional<DutyRecord> value, boolean readable, long endOffset, DualTimestamp observedAt) {}
+      Optional<DutyRecord> value,
+      boolean readable,
+      StorePosition position,
+      DualTimestamp observedAt) {
+    /** Returns whether the register holds a readable record that was written in its own era. */
+    boolean isCurrent() {
+      return readable && value.filter(record -> eraOf(record) == position.era()).isPresent();
+    }
+  }
 
   /**
    * A conditional write to the register.
    *
    * @param value record to write
-   * @param expectedEndOffset end offset of the register for which the write may succeed
+   * @param expected end of the register for which the write may succeed
    * @param sentAt time at which the write is sent
    */
-  public record Write(DutyRecord value, long expectedEndOffset, DualTimestamp sentAt) {}
+  public record Write(DutyRecord value, StorePosition expected, DualTimestamp sentAt) {}
 
   /**
    * A time span in which this process may act as the holder; immutable.
@@ -97,36 +115,61 @@
    * another process has written the record, this process no longer holds the lease.
    *
    * @param value record in the register; empty before the first write, or if it cannot be read
-   * @param endOffset end offset of the register
+   * @param position end of the register
    * @param now current time
    */
-  public void onRead(Optional<DutyRecord> value, long endOffset, DualTimestamp now) {
-    if (lastObserved.map(last -> endOffset < last.endOffset()).orElse(false)) {
+  public void onRead(Optional<DutyRecord> value, StorePosition position, DualTimestamp now) {
+    onEra(position.era());
+    if (isOutdated(position) || isLastObserved(position)) {
       return;
     }
-    boolean unchanged = lastObserved.map(last -> last.endOffset() == endOffset).orElse(false);
-    if (!unchanged) {
-      lastObserved =
-          Optional.of(new Observation(value.or(this::latest), value.isPresent(), endOffset, now));
-      if (!value.map(this::isOwn).orElse(false)) {
-        tenure = Optional.empty();
-      }
+    lastObserved =
+        Optional.of(new Observation(value.or(this::latest), value.isPresent(), position, now));
+    // A late write of an earlier era may bring back an older record of this process.
+    tenure = tenure.filter(span -> value.filter(record -> isRecordOf(span, record)).isPresent());
+  }
+
+  /**
+   * Handles the era in an answer of the store. A new era ends the lease, because the register may
+   * not hold its record any more.
+   *
+   * @param era era of the store
+   * @return whether the era is newer than all before
+   */
+  public boolean onEra(long era) {
+    if (era <= newestEra) {
+      return false;
     }
+    newestEra = era;
+    tenure = Optional.empty();
+    return true;
+  }
+
+  private boolean isOutdated(StorePosition position) {
+    return position.era() < newestEra
+        || lastObserved.filter(last -> position.compareTo(last.position()) < 0).isPresent();
+  }
+
+  private boolean isLastObserved(StorePosition position) {
+    return lastObserved.filter(last -> position.equals(last.position())).isPresent();
   }
 
   /**
    * Records that a write was accepted. The lease counts from the send time of the write. The late
-   * answer to a write that a newer one has replaced is ignored, as it would bring back its token.
+   * answer to a write that a newer one has replaced is ignored, as it would bring back its token. A
+   * write that a restored store accepted grants nothing: the offset that it expected was assigned
+   * again, and may follow the record of another holder.
    *
    * @param write the write
-   * @param endOffset end offset of the register after the write
+   * @param position end of the register after the write
    */
-  public void onWriteAccepted(Write write, long endOffset) {
-    if (lastObserved.map(last -> endOffset < last.endOffset()).orElse(false)) {
+  public void onWriteAccepted(Write write, StorePosition position) {
+    onEra(position.era());
+    if (isOutdated(position) || position.era() != write.expected().era()) {
       return;
     }
     lastObserved =
-        Optional.of(new Observation(Optional.of(write.value()), true, endOffset, write.sentAt()));
+        Optional.of(new Observation(Optional.of(write.value()), true, position, write.sentAt()));
     tenure = Optional.of(new Tenure(write.value().getToken(), write.sentAt(), leaseMs - marginMs));
   }
 
@@ -159,12 +202,13 @@
    * Prepares a claim of the lease.
    *
    * @param now current time
+   * @param newestEndedWindow newest usage window that another holder may have sealed by now
    * @return the write to send, or empty if the lease is not free
    */
-  public Optional<Write> prepareClaim(DualTimestamp now) {
+  public Optional<Write> prepareClaim(DualTimestamp now, long newestEndedWindow) {
     return lastObserved
         .filter(last -> isFree(last, now))
-        .map(last -> new Write(claimRecord(last), last.endOffset(), now));
+        .map(last -> new Write(claimRecord(last, newestEndedWindow), last.position(), now));
   }
 
   /**
@@ -177,41 +221,67 @@
   public Optional<Write> prepareRenewal(DutyRecord next, DualTimestamp now) {
     return lastObserved
         .filter(last -> isHeld(now))
-        .map(last -> new Write(next, last.endOffset(), now));
+        .map(last -> new Write(next, last.position(), now));
   }
 
   private boolean isFree(Observation observed, DualTimestamp now) {
-    if (isHeld(now)) {
+    if (isHeld(now) || observed.position().era() < newestEra) {
       return false;
     }
     if (now.monotonicMs() - observed.observedAt().monotonicMs() >= leaseMs) {
       return true;
     }
     // An earlier process of this VM must have ended, and the conditional write fails if another VM
-    // claims the lease first. A register without a readable record was never written, or its
+    // claims the lease first. A register without a current record was never written, or its
     // holder is unknown and may still act.
-    return observed.readable()
+    return observed.isCurrent()
         ? observed.value().filter(value -> value.getHolder().equals(vm)).isPresent()
-        : observed.endOffset() == 0;
+        : observed.position().isBeforeAnyRecord();
+  }
+
+  private static long eraOf(DutyRecord value) {
+    return value.getEra().orElse(StorePosition.FIRST_ERA);
   }
 
-  private boolean isOwn(DutyRecord value) {
-    return value.getHolder().equals(vm) && value.getBoot() == startMs;
+  private boolean isRecordOf(Tenure span, DutyRecord value) {
+    return value.getHolder().equals(vm)
+        && value.getBoot() == startMs
+        && value.getToken() == span.token();
   }
 
   /**
-   * Returns the record of a claim. The end offset grows with each write to the register, so the
-   * token increases also if the record before it is missing or cannot be read.
+   * Returns the record of a claim. The position grows with each write to the register, so the token
+   * increases also if the record before it is missing, lost or cannot be read.
    */
-  private DutyRecord claimRecord(Observation observed) {
+  private DutyRecord claimRecord(Observation observed, long newestEndedWindow) {
     Optional<DutyRecord> previous = observed.value();
+    StorePosition position = observed.position();
     long lastToken = previous.map(DutyRecord::getToken).orElse(NO_TOKEN);
+    boolean figuresLost =
+        previous
+            .map(record -> eraOf(record) < position.era())
+            .orElse(!position.isBeforeAnyRecord());
     return new DutyRecord(
         vm,
         startMs,
-        Math.max(lastToken, observed.endOffset()) + 1,
+        Math.max(lastToken, position.era() * TOKENS_PER_ERA + position.endOffset()) + 1,
         previous.map(DutyRecord::getTick).orElse(0L) + 1,
-        previous.map(DutyRecord::getSealed).orElse(List.of()),
-        previous.map(DutyRecord::getReportedWindow).orElse(0L));
+        figuresLost ? List.of() : previous.map(DutyRecord::getSealed).orElse(List.of()),
+        figuresLost
+            ? newestReportedWindow(previous, newestEndedWindow)
+            : previous.map(DutyRecord::getReportedWindow).orElse(0L),
+        position.era());
+  }
+
+  /**
+   * Returns the newest window that may have been reported by a holder whose record is lost. A
+   * second report of it could differ from the first.
+   */
+  private static long newestReportedWindow(Optional<DutyRecord> previous, long newestEndedWindow) {
+    long reported = previous.map(DutyRecord::getReportedWindow).orElse(0L);
+    return previous.stream()
+        .flatMap(record -> record.getSealed().stream())
+        .mapToLong(SealedUsage::getWindow)
+        .reduce(Math.max(reported, newestEndedWindow), Math::max);
   }
 }
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/duty/DutyLeaseTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/duty/DutyLeaseTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.samphiregauge.core.DualTimestamp;
+import io.samphiregauge.core.StorePosition;
 import io.samphiregauge.schema.gateway.DutyRecord;
 import io.samphiregauge.schema.gateway.SealedUsage;
 import java.util.ArrayList;
@@ -21,6 +22,8 @@
   /** Minimum time between two actions of one entry if another entry acts between them. */
   private static final long MIN_ALTERNATION_MS = 3_000;
 
+  private static final long NO_WINDOW = 0;
+
   private static final long WALL_OFFSET_MS = 1_700_000_000_000L;
 
   /** Returns a time at which both clocks have advanced equally. */
@@ -28,6 +31,11 @@
     return new DualTimestamp(ms, WALL_OFFSET_MS + ms);
   }
 
+  /** Returns the end of a register whose store was never restored. */
+  private static StorePosition end(long endOffset) {
+    return new StorePosition(StorePosition.FIRST_ERA, endOffset);
+  }
+
   private static DutyLease newLease(String vm) {
     return new DutyLease(vm, 1, LEASE_MS, MARGIN_MS);
   }
@@ -36,10 +44,10 @@
   @Test
   void holdsOnlyUntilTheMarginBeforeTheLeaseEnds() {
     DutyLease lease = newLease("a");
-    lease.onRead(Optional.empty(), 0, at(100));
-    DutyLease.Write claim = lease.prepareClaim(at(100)).orElseThrow();
+    lease.onRead(Optional.empty(), end(0), at(100));
+    DutyLease.Write claim = lease.prepareClaim(at(100), NO_WINDOW).orElseThrow();
     assertThat(lease.isHeld(at(100))).isFalse();
-    lease.onWriteAccepted(claim, 1);
+    lease.onWriteAccepted(claim, end(1));
     assertThat(lease.isHeld(at(100 + LEASE_MS - MARGIN_MS - 1))).isTrue();
     assertThat(lease.isHeld(at(100 + LEASE_MS - MARGIN_MS))).isFalse();
   }
@@ -48,8 +56,8 @@
   @Test
   void suspensionEndsTheLeaseThoughTheMonotonicClockStoodStill() {
     DutyLease lease = newLease("a");
-    lease.onRead(Optional.empty(), 0, at(100));
-    lease.onWriteAccepted(lease.prepareClaim(at(100)).orElseThrow(), 1);
+    lease.onRead(Optional.empty(), end(0), at(100));
+    lease.onWriteAccepted(lease.prepareClaim(at(100), NO_WINDOW).orElseThrow(), end(1));
     DualTimestamp afterSuspension = new DualTimestamp(110, WALL_OFFSET_MS + 5_110);
     assertThat(lease.isHeld(afterSuspension)).isFalse();
     assertThat(lease.prepareRenewal(lease.latest().orElseThrow(), afterSuspension)).isEmpty();
@@ -59,9 +67,9 @@
   @Test
   void answerAfterASuspensionGrantsNothing() {
     DutyLease lease = newLease("a");
-    lease.onRead(Optional.empty(), 0, at(100));
-    DutyLease.Write claim = lease.prepareClaim(at(100)).orElseThrow();
-    lease.onWriteAccepted(claim, 1);
+    lease.onRead(Optional.empty(), end(0), at(100));
+    DutyLease.Write claim = lease.prepareClaim(at(100), NO_WINDOW).orElseThrow();
+    lease.onWriteAccepted(claim, end(1));
     assertThat(lease.isHeld(new DualTimestamp(110, WALL_OFFSET_MS + 5_110))).isFalse();
   }
 
@@ -69,8 +77,8 @@
   @Test
   void holderGivesUpItsLeaseWhenTheClocksDisagree() {
     DutyLease lease = newLease("a");
-    lease.onRead(Optional.empty(), 0, at(100));
-    lease.onWriteAccepted(lease.prepareClaim(at(100)).orElseThrow(), 1);
+    lease.onRead(Optional.empty(), end(0), at(100));
+    lease.onWriteAccepted(lease.prepareClaim(at(100), NO_WINDOW).orElseThrow(), end(1));
     assertThat(lease.isHeld(new DualTimestamp(200, WALL_OFFSET_MS - 1_800))).isFalse();
   }
 
@@ -78,31 +86,35 @@
   @Test
   void contenderDoesNotCountByTheWallClock() {
     DutyLease contender = newLease("b");
-    contender.onRead(Optional.of(new DutyRecord("a", 1, 4, 9, List.of(), 0)), 7, at(1_000));
+    contender.onRead(
+        Optional.of(new DutyRecord("a", 1, 4, 9, List.of(), 0, null)), end(7), at(1_000));
     DualTimestamp clockSetForward = new DualTimestamp(1_100, WALL_OFFSET_MS + 9_000);
-    assertThat(contender.prepareClaim(clockSetForward)).isEmpty();
+    assertThat(contender.prepareClaim(clockSetForward, NO_WINDOW)).isEmpty();
   }
 
   /** Guards against a claim before a whole lease has passed on the contender's own clock. */
   @Test
   void contenderWaitsForTheWholeLeaseFromItsOwnObservation() {
     DutyLease contender = newLease("b");
-    contender.onRead(Optional.of(new DutyRecord("a", 1, 4, 9, List.of(), 0)), 7, at(1_000));
-    assertThat(contender.prepareClaim(at(1_000 + LEASE_MS - 1))).isEmpty();
-    DutyLease.Write claim = contender.prepareClaim(at(1_000 + LEASE_MS)).orElseThrow();
-    assertThat(claim.expectedEndOffset()).isEqualTo(7);
+    contender.onRead(
+        Optional.of(new DutyRecord("a", 1, 4, 9, List.of(), 0, null)), end(7), at(1_000));
+    assertThat(contender.prepareClaim(at(1_000 + LEASE_MS - 1), NO_WINDOW)).isEmpty();
+    DutyLease.Write claim = contender.prepareClaim(at(1_000 + LEASE_MS), NO_WINDOW).orElseThrow();
+    assertThat(claim.expected()).isEqualTo(end(7));
     assertThat(claim.value().getToken()).isEqualTo(8);
-    contender.onRead(Optional.of(new DutyRecord("a", 1, 4, 10, List.of(), 0)), 8, at(2_000));
-    assertThat(contender.prepareClaim(at(1_000 + LEASE_MS))).isEmpty();
+    contender.onRead(
+        Optional.of(new DutyRecord("a", 1, 4, 10, List.of(), 0, null)), end(8), at(2_000));
+    assertThat(contender.prepareClaim(at(1_000 + LEASE_MS), NO_WINDOW)).isEmpty();
   }
 
   /** Guards against a restart after which nobody performs the duties for a whole lease. */
   @Test
   void restartedProcessClaimsTheLeaseOfItsOwnVmImmediately() {
     DutyLease lease = new DutyLease("a", 2, LEASE_MS, MARGIN_MS);
-    lease.onRead(Optional.of(new DutyRecord("a", 1, 4, 9, List.of(), 0)), 7, at(1_000));
+    lease.onRead(Optional.of(new DutyRecord("a", 1, 4, 9, List.of(), 0, null)), end(7), at(1_000));
     assertThat(lease.isHeld(at(1_000))).isFalse();
-    assertThat(lease.prepareClaim(at(1_000)).orElseThrow().value().getToken()).isEqualTo(8);
+    assertThat(lease.prepareClaim(at(1_000), NO_WINDOW).orElseThrow().value().getToken())
+        .isEqualTo(8);
   }
 
   /**
@@ -112,10 +124,10 @@
   @Test
   void unreadableRecordNeitherFreesTheLeaseNorResetsTheToken() {
     DutyLease contender = newLease("b");
-    contender.onRead(Optional.empty(), 7, at(1_000));
-    assertThat(contender.prepareClaim(at(1_000 + LEASE_MS - 1))).isEmpty();
-    DutyLease.Write claim = contender.prepareClaim(at(1_000 + LEASE_MS)).orElseThrow();
-    assertThat(claim.expectedEndOffset()).isEqualTo(7);
+    contender.onRead(Optional.empty(), end(7), at(1_000));
+    assertThat(contender.prepareClaim(at(1_000 + LEASE_MS - 1), NO_WINDOW)).isEmpty();
+    DutyLease.Write claim = contender.prepareClaim(at(1_000 + LEASE_MS), NO_WINDOW).orElseThrow();
+    assertThat(claim.expected()).isEqualTo(end(7));
     assertThat(claim.value().getToken()).isGreaterThan(7);
   }
 
@@ -123,8 +135,9 @@
   @Test
   void tokenExceedsThatOfTheRecordBeforeAlsoIfTheOffsetIsLower() {
     DutyLease contender = newLease("b");
-    contender.onRead(Optional.of(new DutyRecord("a", 1, 40, 9, List.of(), 0)), 7, at(1_000));
-    DutyLease.Write claim = contender.prepareClaim(at(1_000 + LEASE_MS)).orElseThrow();
+    contender.onRead(
+        Optional.of(new DutyRecord("a", 1, 40, 9, List.of(), 0, null)), end(7), at(1_000));
+    DutyLease.Write claim = contender.prepareClaim(at(1_000 + LEASE_MS), NO_WINDOW).orElseThrow();
     assertThat(claim.value().getToken()).isEqualTo(41);
   }
 
@@ -135,12 +148,12 @@
   @Test
   void lateAnswerToAnOlderClaimDoesNotBringItsTokenBack() {
     DutyLease lease = newLease("a");
-    lease.onRead(Optional.empty(), 0, at(100));
-    DutyLease.Write first = lease.prepareClaim(at(100)).orElseThrow();
-    lease.onRead(Optional.of(first.value()), 1, at(700));
-    DutyLease.Write second = lease.prepareClaim(at(700)).orElseThrow();
-    lease.onWriteAccepted(second, 2);
-    lease.onWriteAccepted(first, 1);
+    lease.onRead(Optional.empty(), end(0), at(100));
+    DutyLease.Write first = lease.prepareClaim(at(100), NO_WINDOW).orElseThrow();
+    lease.onRead(Optional.of(first.value()), end(1), at(700));
+    DutyLease.Write second = lease.prepareClaim(at(700), NO_WINDOW).orElseThrow();
+    lease.onWriteAccepted(second, end(2));
+    lease.onWriteAccepted(first, end(1));
     assertThat(lease.tenure().orElseThrow().token()).isEqualTo(second.value().getToken());
     assertThat(lease.token()).isEqualTo(second.value().getToken());
   }
@@ -149,8 +162,8 @@
   @Test
   void ignoresAnOlderRead() {
     DutyLease lease = newLease("a");
-    lease.onRead(Optional.of(new DutyRecord("b", 1, 4, 9, List.of(), 0)), 7, at(1_000));
-    lease.onRead(Optional.of(new DutyRecord("c", 1, 3, 8, List.of(), 0)), 6, at(1_100));
+    lease.onRead(Optional.of(new DutyRecord("b", 1, 4, 9, List.of(), 0, null)), end(7), at(1_000));
+    lease.onRead(Optional.of(new DutyRecord("c", 1, 3, 8, List.of(), 0, null)), end(6), at(1_100));
     assertThat(lease.token()).isEqualTo(4);
   }
 
@@ -161,18 +174,92 @@
   void unreadableRecordKeepsWhatIsKnownOfTheWindows() {
     SealedUsage sealed = new SealedUsage(17, Map.of("team", 4L));
     DutyLease holder = newLease("a");
-    holder.onRead(Optional.of(new DutyRecord("a", 0, 4, 9, List.of(sealed), 16)), 7, at(100));
-    DutyLease.Write own = holder.prepareClaim(at(100)).orElseThrow();
-    holder.onWriteAccepted(own, 8);
-    holder.onRead(Optional.empty(), 9, at(200));
+    holder.onRead(
+        Optional.of(new DutyRecord("a", 0, 4, 9, List.of(sealed), 16, null)), end(7), at(100));
+    DutyLease.Write own = holder.prepareClaim(at(100), NO_WINDOW).orElseThrow();
+    holder.onWriteAccepted(own, end(8));
+    holder.onRead(Optional.empty(), end(9), at(200));
     assertThat(holder.isHeld(at(201))).isFalse();
-    assertThat(holder.prepareClaim(at(200 + LEASE_MS - 1))).isEmpty();
-    DutyRecord next = holder.prepareClaim(at(200 + LEASE_MS)).orElseThrow().value();
+    assertThat(holder.prepareClaim(at(200 + LEASE_MS - 1), NO_WINDOW)).isEmpty();
+    DutyRecord next = holder.prepareClaim(at(200 + LEASE_MS), NO_WINDOW).orElseThrow().value();
     assertThat(next.getToken()).isGreaterThan(9);
     assertThat(next.getSealed()).containsExactly(sealed);
     assertThat(next.getReportedWindow()).isEqualTo(16);
   }
 
+  /**
+   * Guards against a token that two holders use: the store forgets the claim of the first, and the
+   * second counts on from the same older record.
+   */
+  @Test
+  void restoredStoreDoesNotAssignATokenAgain() {
+    DutyRecord old = new DutyRecord("c", 1, 4, 9, List.of(), 0, null);
+    DutyLease first = newLease("a");
+    first.onRead(Optional.of(old), end(7), at(1_000));
+    DutyLease.Write lost = first.prepareClaim(at(1_000 + LEASE_MS), NO_WINDOW).orElseThrow();
+    first.onWriteAccepted(lost, end(8));
+    DutyLease second = newLease("b");
+    second.onRead(Optional.of(old), new StorePosition(1, 7), at(5_000));
+    DutyLease.Write claim = second.prepareClaim(at(5_000 + LEASE_MS), NO_WINDOW).orElseThrow();
+    assertThat(claim.value().getToken()).isGreaterThan(lost.value().getToken());
+  }
+
+  /** Guards against a holder that acts on after the store has lost its record. */
+  @Test
+  void restoreEndsTheLease() {
+    DutyLease holder = newLease("a");
+    holder.onRead(Optional.empty(), end(0), at(100));
+    holder.onWriteAccepted(holder.prepareClaim(at(100), NO_WINDOW).orElseThrow(), end(1));
+    assertThat(holder.onEra(1)).isTrue();
+    assertThat(holder.isHeld(at(101))).isFalse();
+    assertThat(holder.prepareClaim(at(100 + LEASE_MS), NO_WINDOW)).isEmpty();
+  }
+
+  /**
+   * Guards against an entry that takes an older record of its own VM in a restored store for the
+   * lease, while the successor that the store forgot still acts.
+   */
+  @Test
+  void recordOfAnEarlierEraDoesNotFreeTheLeaseForItsOwnVm() {
+    DutyLease lease = new DutyLease("a", 2, LEASE_MS, MARGIN_MS);
+    Optional<DutyRecord> own = Optional.of(new DutyRecord("a", 1, 4, 9, List.of(), 0, null));
+    lease.onRead(own, new StorePosition(1, 7), at(1_000));
+    assertThat(lease.prepareClaim(at(1_000 + LEASE_MS - 1), NO_WINDOW)).isEmpty();
+    assertThat(lease.prepareClaim(at(1_000 + LEASE_MS), NO_WINDOW)).isPresent();
+  }
+
+  /** Guards against a claim at once in a register that is empty because the store was restored. */
+  @Test
+  void emptyRegisterOfARestoredStoreIsNotFree() {
+    DutyLease lease = newLease("a");
+    lease.onRead(Optional.empty(), new StorePosition(1, 0), at(1_000));
+    assertThat(lease.prepareClaim(at(1_000 + LEASE_MS - 1), NO_WINDOW)).isEmpty();
+  }
+
+  /** Guards against a write of an earlier era that grants the lease of a restored store. */
+  @Test
+  void writeThatARestoredStoreAcceptsGrantsNothing() {
+    DutyLease lease = newLease("a");
+    lease.onRead(Optional.empty(), end(0), at(100));
+    DutyLease.Write claim = lease.prepareClaim(at(100), NO_WINDOW).orElseThrow();
+    lease.onWriteAccepted(claim, new StorePosition(1, 1));
+    assertThat(lease.isHeld(at(101))).isFalse();
+  }
+
+  /** Guards against a second report of a window, with other counts, after the first was lost. */
+  @Test
+  void windowsThatMayBeReportedAreNotReportedAfterARestore() {
+    SealedUsage sealed = new SealedUsage(17, Map.of("team", 4L));
+    DutyLease lease = newLease("a");
+    lease.onRead(
+        Optional.of(new DutyRecord("b", 0, 4, 9, List.of(sealed), 16, null)),
+        new StorePosition(1, 7),
+        at(100));
+    DutyRecord next = lease.prepareClaim(at(100 + LEASE_MS), 19).orElseThrow().value();
+    assertThat(next.getSealed()).isEmpty();
+    assertThat(next.getReportedWindow()).isEqualTo(19);
+  }
+
   /** A simulated entry whose clock is offset from the simulated time by a constant. */
   private static final class Entry {
     final DutyLease lease;
@@ -203,6 +290,33 @@
    */
   @Property(tries = 300, seed = "11")
   void oneHolderActsAtATime(@ForAll long seed) {
+    simulate(seed, false);
+  }
+
+  /** Guards against the same faults while the store is also restored from older copies. */
+  @Property(tries = 300, seed = "12")
+  void oneHolderActsAtATimeAlsoIfTheStoreIsRestored(@ForAll long seed) {
+    simulate(seed, true);
+  }
+
+  /** The register of the lease, as the store keeps it. */
+  private record Register(Optional<DutyRecord> value, StorePosition end) {
+    boolean accepts(DutyLease.Write write) {
+      // The store compares offsets only; it does not know in which era a write was prepared.
+      return write.expected().endOffset() == end.endOffset();
+    }
+
+    Register with(DutyLease.Write write) {
+      return new Register(
+          Optional.of(write.value()), new StorePosition(end.era(), end.endOffset() + 1));
+    }
+
+    Register restoredFrom(Register copy) {
+      return new Register(copy.value, new StorePosition(end.era() + 1, copy.end.endOffset()));
+    }
+  }
+
+  private static void simulate(long seed, boolean restores) {
     SplittableRandom random = new SplittableRandom(seed);
     List<Entry> entries = new ArrayList<>();
     for (int i = 0; i < 3; i++) {
@@ -211,14 +325,19 @@
     long[] pausedUntilMs = new long[3];
     List<DutyLease.Write> delayedWrites = new ArrayList<>();
     List<Action> actions = new ArrayList<>();
-    Optional<DutyRecord> stored = Optional.empty();
-    long end = 0;
+    Register register = new Register(Optional.empty(), end(0));
+    Register copy = register;
     for (long now = 0; now < 60_000; now += 50) {
+      if (restores && random.nextInt(60) == 0) {
+        copy = register;
+      }
+      if (restores && random.nextInt(120) == 0) {
+        register = register.restoredFrom(copy);
+      }
       if (!delayedWrites.isEmpty() && random.nextInt(20) == 0) {
         DutyLease.Write write = delayedWrites.remove(0);
-        if (write.expectedEndOffset() == end) {
-          stored = Optional.of(write.value());
-          end++;
+        if (register.accepts(write)) {
+          register = register.with(write);
         }
       }
       int chosen = random.nextInt(3);
@@ -238,21 +357,20 @@
       if (entry.lease.isHeld(local)) {
         actions.add(new Action(chosen, entry.lease.token(), now));
       } else {
-        entry.lease.onRead(stored, end, local);
+        entry.lease.onRead(register.value(), register.end(), local);
       }
       Optional<DutyLease.Write> write = nextWrite(entry.lease, local);
       if (write.isPresent()) {
         int outcome = random.nextInt(10);
         if (outcome == 0) {
           delayedWrites.add(write.orElseThrow());
-        } else if (write.orElseThrow().expectedEndOffset() == end) {
-          stored = Optional.of(write.orElseThrow().value());
-          end++;
+        } else if (register.accepts(write.orElseThrow())) {
+          register = register.with(write.orElseThrow());
           if (outcome != 1) {
-            entry.lease.onWriteAccepted(write.orElseThrow(), end);
+            entry.lease.onWriteAccepted(write.orElseThrow(), register.end());
           }
         } else {
-          entry.lease.onRead(stored, end, local);
+          entry.lease.onRead(register.value(), register.end(), local);
         }
       }
     }
@@ -262,7 +380,7 @@
 
   private static Optional<DutyLease.Write> nextWrite(DutyLease lease, DualTimestamp local) {
     if (!lease.isHeld(local)) {
-      return lease.prepareClaim(local);
+      return lease.prepareClaim(local, NO_WINDOW);
     }
     DutyRecord last = lease.latest().orElseThrow();
     DutyRecord next =
@@ -272,7 +390,8 @@
             last.getToken(),
             last.getTick() + 1,
             last.getSealed(),
-            last.getReportedWindow());
+            last.getReportedWindow(),
+            last.getEra().orElseThrow());
     return lease.prepareRenewal(next, local);
   }
 
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
@@ -1,6 +1,7 @@
 package io.samphiregauge.gateway.control;
 
 import io.samphiregauge.core.DualTimestamp;
+import io.samphiregauge.core.StorePosition;
 import io.samphiregauge.core.duty.DutyLease;
 import io.samphiregauge.core.duty.SealTiming;
 import io.samphiregauge.core.duty.UsageAggregator;
@@ -94,6 +95,7 @@
   private boolean writePending;
   private boolean reportPending;
   private boolean wasHolder;
+  private boolean restored;
   private volatile boolean stopped;
   private long lastTickNumber;
   private long nextTickAtMs;
@@ -141,6 +143,23 @@
     stopped = true;
   }
 
+  /**
+   * Handles the era of the store in any of its answers. A holder stops to act at once, because the
+   * register may not hold its record any more.
+   *
+   * @param era era of the store
+   */
+  void onStoreEra(long era) {
+    if (!lease.onEra(era)) {
+      return;
+    }
+    tenure.set(lease.tenure());
+    // The records that a reader has not read yet may now be before the offset that it has reached.
+    usageOffset = 0;
+    restored = true;
+    logHolderChange(lease.isHeld(clock.get()));
+  }
+
   /** Reads the lease earlier if this entry has moved up, because entries before it have gone. */
   void onMembersChanged() {
     long delayMs = pollPeriodMs(group.rank());
@@ -197,6 +216,7 @@
     if (holder) {
       LOG.log(
           Level.INFO, "event=lease_acquired lease=duty token={0} holder={1}", token, holderName);
+      restored = false;
     } else {
       LOG.log(
           Level.INFO,
@@ -212,7 +232,7 @@
     return lease
         .tenure()
         .map(span -> span.clocksAgree(now) ? "expired" : "clocks_disagree")
-        .orElse("superseded");
+        .orElse(restored ? "store_restored" : "superseded");
   }
 
   private void readLease() {
@@ -229,12 +249,12 @@
         .value()
         .ifPresent(
             records -> {
-              lease.onRead(findLeaseRecord(records), records.nextOffset(), clock.get());
+              lease.onRead(findLeaseRecord(records), records.position(), clock.get());
               tenure.set(lease.tenure());
               // The answer to a write that is pending may still grant the lease.
               if (!stopped && !writePending) {
                 lease
-                    .prepareClaim(clock.get())
+                    .prepareClaim(clock.get(), newestSealableWindow())
                     .ifPresent(write -> writeLease(write, this::onClaimed));
               }
             });
@@ -261,7 +281,7 @@
     StoreRecord record =
         new StoreRecord(LEASE_KEY, Optional.of(Codec.json().encode(write.value())));
     control.onResult(
-        store.appender().append(Topic.DUTY, record, OptionalLong.of(write.expectedEndOffset())),
+        store.appender().append(Topic.DUTY, record, OptionalLong.of(write.expected().endOffset())),
         result -> {
           writePending = false;
           recordStoreCall(result);
@@ -278,7 +298,7 @@
 
   private boolean onLeaseWritten(DutyLease.Write write, AppendResult result, Runnable onAccepted) {
     if (result instanceof AppendResult.Appended appended) {
-      lease.onWriteAccepted(write, appended.position().endOffset());
+      lease.onWriteAccepted(write, appended.position());
       tenure.set(lease.tenure());
       // The answer may have come after the end of the lease that it grants.
       if (lease.isHeld(clock.get())) {
@@ -346,7 +366,8 @@
         current.getToken(),
         current.getTick() + 1,
         sealed,
-        Math.max(current.getReportedWindow(), lastReportedWindow));
+        Math.max(current.getReportedWindow(), lastReportedWindow),
+        current.getEra().orElse(StorePosition.FIRST_ERA));
   }
 
   private boolean isSealable(long window) {
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
@@ -104,6 +104,7 @@
             () -> groupFollower.members().size(),
             DualTimestamp::now);
     this.dutyWorker = fleet.map(api -> createDutyWorker(settings, self, store, api));
+    dutyWorker.ifPresent(worker -> storeEra.addListener(worker::onStoreEra));
   }
 
   private DutyWorker createDutyWorker(
--- a/samphiregauge-gateway/src/test/java/io/samphiregauge/gateway/control/DutyWorkerTest.java
+++ b/samphiregauge-gateway/src/test/java/io/samphiregauge/gateway/control/DutyWorkerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.samphiregauge.core.StorePosition;
 import io.samphiregauge.core.fleet.DomainTarget;
 import io.samphiregauge.core.result.Result;
 import io.samphiregauge.gateway.GroupMember;
@@ -27,6 +28,7 @@
   private final SimulatedTime time = new SimulatedTime();
   private final List<PlatformCall> calls = new ArrayList<>();
   private final List<StoreRecord> register = new ArrayList<>();
+  private long era;
 
   /** A call that the platform received. */
   private record PlatformCall(String vm, long token, long atMs) {}
@@ -65,6 +67,55 @@
     }
   }
 
+  /**
+   * Guards against two holders that send the same token, or take turns, after the store has come
+   * back from a copy that lacks the claim of the second one.
+   */
+  @Test
+  void restoredStoreDoesNotLetTwoHoldersActWithOneToken() {
+    List<SimulatedTime.Vm> vms = List.of(time.newVm(), time.newVm(), time.newVm());
+    for (int i = 0; i < vms.size(); i++) {
+      startWorker("vm-" + i, vms.get(i), othersOf(i, vms.size()));
+    }
+    for (int round = 0; round < 20; round++) {
+      // Steps of 97 ms take the copy and restore it at other moments of the renewals in each round.
+      time.run(9_000 + 97L * round);
+      List<StoreRecord> copy = List.copyOf(register);
+      vms.get(round % vms.size()).suspend(7_000);
+      time.run(5_500 + 61L * round);
+      restore(copy);
+    }
+    time.run(20_000);
+    assertThat(calls.stream().map(PlatformCall::vm).distinct()).hasSizeGreaterThan(1);
+    for (int i = 1; i < calls.size(); i++) {
+      PlatformCall call = calls.get(i);
+      PlatformCall previous = calls.get(i - 1);
+      assertThat(call.token())
+          .as("%s after %s", call, previous)
+          .isGreaterThanOrEqualTo(previous.token());
+      assertThat(call.token() == previous.token() && !call.vm().equals(previous.vm()))
+          .as("%s uses the token of %s", call, previous)
+          .isFalse();
+    }
+  }
+
+  /** Replaces the register by an older copy, as a store does that lost its newest records. */
+  private void restore(List<StoreRecord> copy) {
+    register.clear();
+    register.addAll(copy);
+    era++;
+  }
+
+  private static List<GroupMember> othersOf(int self, int count) {
+    List<GroupMember> members = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      if (i != self) {
+        members.add(member("vm-" + i));
+      }
+    }
+    return members;
+  }
+
   /** Guards against reads that grow with the group, and against a slower claim in a small one. */
   @Test
   void entriesOfHighRankReadTheLeaseSeldom() {
@@ -93,7 +144,8 @@
   private void startWorker(String name, SimulatedTime.Vm vm, List<GroupMember> others) {
     GroupMember self = member(name);
     ControlThread control = vm.newControlThread();
-    SharedStore store = store(vm, others);
+    StoreEraWatch storeEra = new StoreEraWatch(control);
+    SharedStore store = storeEra.watch(store(vm, others));
     GroupFollower group = new GroupFollower(control, store, self, () -> {});
     group.start();
     FleetApi fleet =
@@ -120,6 +172,7 @@
             self,
             new DutyWorker.DutyTiming(LEASE_MS, 5_000, 10_000),
             vm::now);
+    storeEra.addListener(worker::onStoreEra);
     // The worker learns its rank from the members.
     control.schedule(100, worker::start);
   }
@@ -141,7 +194,7 @@
     return new SharedStore(
         topic -> respond(vm, () -> Result.success(readRegister())),
         (topic, offset, waitMs) ->
-            respond(vm, () -> Result.success(new ReadResult.Records(List.of(), offset))),
+            respond(vm, () -> Result.success(new ReadResult.Records(List.of(), offset, era))),
         (topic, record, end) -> respond(vm, () -> Result.success(append(topic, record, end))),
         (topic, records, end) ->
             respond(vm, () -> Result.success(append(topic, records.get(0), end))),
@@ -153,18 +206,22 @@
   private ReadResult.Records readRegister() {
     List<StoreRecord> newest =
         register.isEmpty() ? List.of() : List.of(register.get(register.size() - 1));
-    return new ReadResult.Records(newest, register.size());
+    return new ReadResult.Records(newest, register.size(), era);
   }
 
   private AppendResult append(Topic topic, StoreRecord record, OptionalLong expectedEnd) {
     if (topic != Topic.DUTY) {
-      return new AppendResult.Appended(0);
+      return new AppendResult.Appended(new StorePosition(era, 0));
     }
     if (expectedEnd.orElse(register.size()) != register.size()) {
-      return new AppendResult.Conflict(register.size());
+      return new AppendResult.Conflict(registerEnd());
     }
     register.add(record);
-    return new AppendResult.Appended(register.size());
+    return new AppendResult.Appended(registerEnd());
+  }
+
+  private StorePosition registerEnd() {
+    return new StorePosition(era, register.size());
   }
 
   /** Performs a call after half of the round trip, and responds after the other half. */
