Handle the era in the duty worker itself, and check turns of holders

Whether the era is new was told by the lease, which also learns it from results; had a result come first, the worker would have kept its tenure and its offset. The worker now compares the era itself, and reads usage again if a page of an earlier era comes late.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/duty/DutyLease.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/duty/DutyLease.java
@@ -52,7 +52,7 @@
       boolean readable,
       StorePosition position,
       DualTimestamp observedAt) {
-    /** Returns whether the register holds a readable record that was written in its own era. */
+    /** Returns whether the register holds a readable record that was prepared for its own era. */
     boolean isCurrent() {
       return readable && value.filter(record -> eraOf(record) == position.era()).isPresent();
     }
@@ -134,15 +134,12 @@
    * not hold its record any more.
    *
    * @param era era of the store
-   * @return whether the era is newer than all before
    */
-  public boolean onEra(long era) {
-    if (era <= newestEra) {
-      return false;
+  public void onEra(long era) {
+    if (era > newestEra) {
+      newestEra = era;
+      tenure = Optional.empty();
     }
-    newestEra = era;
-    tenure = Optional.empty();
-    return true;
   }
 
   private boolean isOutdated(StorePosition position) {
@@ -202,13 +199,14 @@
    * Prepares a claim of the lease.
    *
    * @param now current time
-   * @param newestEndedWindow newest usage window that another holder may have sealed by now
+   * @param newestSealableWindow newest usage window that another holder may have sealed by now; it
+   *     may be later if the clock of that holder is ahead by more than the duration of the lease
    * @return the write to send, or empty if the lease is not free
    */
-  public Optional<Write> prepareClaim(DualTimestamp now, long newestEndedWindow) {
+  public Optional<Write> prepareClaim(DualTimestamp now, long newestSealableWindow) {
     return lastObserved
         .filter(last -> isFree(last, now))
-        .map(last -> new Write(claimRecord(last, newestEndedWindow), last.position(), now));
+        .map(last -> new Write(claimRecord(last, newestSealableWindow), last.position(), now));
   }
 
   /**
@@ -253,7 +251,7 @@
    * Returns the record of a claim. The position grows with each write to the register, so the token
    * increases also if the record before it is missing, lost or cannot be read.
    */
-  private DutyRecord claimRecord(Observation observed, long newestEndedWindow) {
+  private DutyRecord claimRecord(Observation observed, long newestSealableWindow) {
     Optional<DutyRecord> previous = observed.value();
     StorePosition position = observed.position();
     long lastToken = previous.map(DutyRecord::getToken).orElse(NO_TOKEN);
@@ -268,7 +266,7 @@
         previous.map(DutyRecord::getTick).orElse(0L) + 1,
         figuresLost ? List.of() : previous.map(DutyRecord::getSealed).orElse(List.of()),
         figuresLost
-            ? newestReportedWindow(previous, newestEndedWindow)
+            ? newestPossiblyReportedWindow(previous, newestSealableWindow)
             : previous.map(DutyRecord::getReportedWindow).orElse(0L),
         position.era());
   }
@@ -277,11 +275,11 @@
    * Returns the newest window that may have been reported by a holder whose record is lost. A
    * second report of it could differ from the first.
    */
-  private static long newestReportedWindow(Optional<DutyRecord> previous, long newestEndedWindow) {
+  private static long newestPossiblyReportedWindow(Optional<DutyRecord> previous, long newestSealableWindow) {
     long reported = previous.map(DutyRecord::getReportedWindow).orElse(0L);
     return previous.stream()
         .flatMap(record -> record.getSealed().stream())
         .mapToLong(SealedUsage::getWindow)
-        .reduce(Math.max(reported, newestEndedWindow), Math::max);
+        .reduce(Math.max(reported, newestSealableWindow), Math::max);
   }
 }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
@@ -95,7 +95,8 @@
   private boolean writePending;
   private boolean reportPending;
   private boolean wasHolder;
-  private boolean restored;
+  private boolean lostByRestore;
+  private long storeEra = StorePosition.FIRST_ERA;
   private volatile boolean stopped;
   private long lastTickNumber;
   private long nextTickAtMs;
@@ -144,19 +145,21 @@
   }
 
   /**
-   * Handles the era of the store in any of its answers. A holder stops to act at once, because the
-   * register may not hold its record any more.
+   * Handles the era of the store in the result of a read or an append. A holder stops to act at
+   * once, because the register may not hold its record any more.
    *
    * @param era era of the store
    */
   void onStoreEra(long era) {
-    if (!lease.onEra(era)) {
+    if (era <= storeEra) {
       return;
     }
+    storeEra = era;
+    lease.onEra(era);
     tenure.set(lease.tenure());
-    // The records that a reader has not read yet may now be before the offset that it has reached.
+    // Usage records that were not read yet may now be before the offset that was reached.
     usageOffset = 0;
-    restored = true;
+    lostByRestore = true;
     logHolderChange(lease.isHeld(clock.get()));
   }
 
@@ -216,7 +219,7 @@
     if (holder) {
       LOG.log(
           Level.INFO, "event=lease_acquired lease=duty token={0} holder={1}", token, holderName);
-      restored = false;
+      lostByRestore = false;
     } else {
       LOG.log(
           Level.INFO,
@@ -232,7 +235,7 @@
     return lease
         .tenure()
         .map(span -> span.clocksAgree(now) ? "expired" : "clocks_disagree")
-        .orElse(restored ? "store_restored" : "superseded");
+        .orElse(lostByRestore ? "store_restored" : "superseded");
   }
 
   private void readLease() {
@@ -397,6 +400,10 @@
   }
 
   private void onUsageRead(ReadResult page, Runnable onComplete) {
+    if (page.era() < storeEra) {
+      readUsage(onComplete);
+      return;
+    }
     if (page instanceof ReadResult.Expired expired) {
       usageOffset = expired.firstOffset();
       readUsage(onComplete);
