Do not report windows that an unreadable register may hold

An entry that knows an older record and then reads one that it cannot decode claimed with the windows of the older record.

Such a register now counts like a lost one: no window that may have been sealed by the time of the claim is reported.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/duty/DutyLease.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/duty/DutyLease.java
@@ -255,10 +255,7 @@
     Optional<DutyRecord> previous = observed.value();
     StorePosition position = observed.position();
     long lastToken = previous.map(DutyRecord::getToken).orElse(NO_TOKEN);
-    boolean figuresLost =
-        previous
-            .map(record -> eraOf(record) < position.era())
-            .orElse(!position.isBeforeAnyRecord());
+    boolean figuresLost = !observed.isCurrent() && !position.isBeforeAnyRecord();
     return new DutyRecord(
         vm,
         startMs,
