Leave the era out of the duty record until the store was restored

Entries of an older build refuse records with unknown fields, so in a rolling upgrade they could not read the register and waited, or claimed with what they knew of older windows. Only restored stores are affected now.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/duty/DutyLease.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/duty/DutyLease.java
@@ -237,6 +237,11 @@
         : observed.position().isBeforeAnyRecord();
   }
 
+  /** Returns the era of a record, left out before the first restore so that older entries read it. */
+  private static Optional<Long> eraField(StorePosition position) {
+    return Optional.of(position.era()).filter(era -> era != StorePosition.FIRST_ERA);
+  }
+
   private static long eraOf(DutyRecord value) {
     return value.getEra().orElse(StorePosition.FIRST_ERA);
   }
@@ -265,14 +270,15 @@
         figuresLost
             ? newestPossiblyReportedWindow(previous, newestSealableWindow)
             : previous.map(DutyRecord::getReportedWindow).orElse(0L),
-        position.era());
+        eraField(position).orElse(null));
   }
 
   /**
    * Returns the newest window that may have been reported by a holder whose record is lost. A
    * second report of it could differ from the first.
    */
-  private static long newestPossiblyReportedWindow(Optional<DutyRecord> previous, long newestSealableWindow) {
+  private static long newestPossiblyReportedWindow(
+      Optional<DutyRecord> previous, long newestSealableWindow) {
     long reported = previous.map(DutyRecord::getReportedWindow).orElse(0L);
     return previous.stream()
         .flatMap(record -> record.getSealed().stream())
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/duty/DutyLeaseTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/duty/DutyLeaseTest.java
@@ -391,7 +391,7 @@
             last.getTick() + 1,
             last.getSealed(),
             last.getReportedWindow(),
-            last.getEra().orElseThrow());
+            last.getEra().orElse(null));
     return lease.prepareRenewal(next, local);
   }
 
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/DutyWorker.java
@@ -370,7 +370,7 @@
         current.getTick() + 1,
         sealed,
         Math.max(current.getReportedWindow(), lastReportedWindow),
-        current.getEra().orElse(StorePosition.FIRST_ERA));
+        current.getEra().orElse(null));
   }
 
   private boolean isSealable(long window) {
