--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/TopicFollower.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/TopicFollower.java
@@ -17,7 +17,8 @@
 
 /**
  * Follows a keyed topic of the store: reads the newest record of each key, then the changes. Reads
- * the newest records again when the changes that it needs have expired. Runs on the control thread.
+ * the newest records again when the changes that it needs have expired, or the store was restored.
+ * Runs on the control thread.
  */
 final class TopicFollower {
   private static final Logger LOG = System.getLogger(TopicFollower.class.getName());
@@ -35,6 +36,7 @@
   private final BiConsumer<List<StoreRecord>, DualTimestamp> snapshotHandler;
   private final BiConsumer<List<StoreRecord>, DualTimestamp> changeHandler;
   private long nextOffset;
+  private long era;
   private boolean failing;
 
   /** Incremented by each start and stop; results and tasks of earlier generations are ignored. */
@@ -111,6 +113,7 @@
           onReadSucceeded();
           handle(snapshotHandler, page.records(), requestedAt);
           nextOffset = page.nextOffset();
+          era = page.era();
           scheduleRead(requestedAt);
           return true;
         },
@@ -142,7 +145,9 @@
 
   private boolean applyChanges(ReadResult page, DualTimestamp requestedAt) {
     onReadSucceeded();
-    if (!(page instanceof ReadResult.Records records) || records.nextOffset() < nextOffset) {
+    if (!(page instanceof ReadResult.Records records)
+        || records.nextOffset() < nextOffset
+        || records.era() != era) {
       LOG.log(Level.INFO, "event=topic_history_lost topic=" + topic + " next_offset=" + nextOffset);
       readSnapshot();
       return true;
