Keep the work of one request within a software version

What callers saw: text that two versions of a service had written, in one answer of status 200. A retry of a broken stream went to any server, a prompt that one version had read was decoded by another, and a run went on from its copy at another version.

Cause: nothing read the version of a server, so every place that joins the work of two servers could cross it. BackendServer.isCompatibleWith is asked now by the choice of decode engines, of sources of fetched parts and of backups, and an engine only prefills if one of its version decodes. StreamBinding holds the version of the first event, and AttemptPlanner leaves out all other servers from then on.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/backend/BackendServer.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/backend/BackendServer.java
@@ -8,6 +8,7 @@
  * @param id identifier of the server; a restarted server may keep it
  * @param startedMs start time of the server, in milliseconds since the epoch by its own clock
  * @param service name of the service that it provides
+ * @param softwareVersion version of its software
  * @param address IP address and port
  * @param domain failure domain
  * @param slots maximum number of concurrent requests
@@ -19,6 +20,7 @@
     String id,
     long startedMs,
     String service,
+    String softwareVersion,
     String address,
     String domain,
     int slots,
@@ -34,6 +36,16 @@
     return id + "@" + startedMs;
   }
 
+  /**
+   * Returns whether this server can use what another one writes: events of a stream and KV caches.
+   * Different software versions cannot, and the servers do not check this.
+   *
+   * @param other the other server
+   */
+  public boolean isCompatibleWith(BackendServer other) {
+    return service.equals(other.service) && softwareVersion.equals(other.softwareVersion);
+  }
+
   /**
    * Returns whether the server only prefills prompts.
    *
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/CacheDirectory.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/CacheDirectory.java
@@ -6,14 +6,21 @@
 import java.util.Optional;
 
 /**
- * Per failure domain, the engine that caches the longest shared prefix of one prompt. Built for a
- * single decision.
+ * Per failure domain and software version, the engine that caches the longest shared prefix of one
+ * prompt. Built for a single decision.
  *
  * <p>Fetching a long cached prefix from another engine takes tens of milliseconds; prefilling it
  * again takes hundreds.
  */
 final class CacheDirectory {
-  private final Map<String, Holder> byDomain = new HashMap<>();
+  private final Map<Place, Holder> holders = new HashMap<>();
+
+  /** A failure domain, and the software version whose caches an engine of it can use. */
+  private record Place(String domain, String softwareVersion) {
+    static Place of(ServerLoad load) {
+      return new Place(load.server().domain(), load.server().softwareVersion());
+    }
+  }
 
   /** An engine and the number of leading prompt tokens that it caches. */
   record Holder(ServerLoad load, int tokens) {}
@@ -28,8 +35,8 @@
     for (ServerLoad load : servers) {
       int tokens = Math.min(load.prefixCache().cachedTokens(prompt), prompt.sharedTokens());
       if (tokens >= Prompt.MIN_FETCH_TOKENS && !load.isAvoided(nowMs)) {
-        directory.byDomain.merge(
-            load.server().domain(),
+        directory.holders.merge(
+            Place.of(load),
             new Holder(load, tokens),
             (first, second) -> first.tokens() >= second.tokens() ? first : second);
       }
@@ -38,12 +45,12 @@
   }
 
   boolean isEmpty() {
-    return byDomain.isEmpty();
+    return holders.isEmpty();
   }
 
   /**
-   * Finds the engine that caches the longest prefix. On a tie, an engine in the failure domain of
-   * the target is preferred.
+   * Finds the engine of the target's software version that caches the longest prefix. On a tie, an
+   * engine in the failure domain of the target is preferred.
    *
    * @param target the engine that prefills the prompt
    * @param cachedTokens leading prompt tokens that the target caches itself
@@ -51,8 +58,11 @@
    *     Prompt#MIN_FETCH_TOKENS} more tokens than the target
    */
   Optional<Holder> sourceFor(ServerLoad target, int cachedTokens) {
-    Optional<Holder> best = Optional.ofNullable(byDomain.get(target.server().domain()));
-    for (Holder holder : byDomain.values()) {
+    Optional<Holder> best = Optional.ofNullable(holders.get(Place.of(target)));
+    for (Holder holder : holders.values()) {
+      if (!target.server().isCompatibleWith(holder.load().server())) {
+        continue;
+      }
       if (best.isEmpty() || holder.tokens() > best.orElseThrow().tokens()) {
         best = Optional.of(holder);
       }
--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerChooser.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/dispatch/ServerChooser.java
@@ -1,10 +1,12 @@
 package io.samphiregauge.core.dispatch;
 
 import io.samphiregauge.core.RendezvousHash;
+import io.samphiregauge.core.backend.BackendServer;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.function.ToDoubleFunction;
 import java.util.stream.Collectors;
@@ -134,11 +136,8 @@
    */
   public Optional<PromptPlan> planPrefill(
       Prompt prompt, List<ServerLoad> servers, EngineRates rates, long nowMs) {
-    List<ServerLoad> permitted = crossing.permitted().apply(servers);
-    boolean canGenerate = servers.stream().anyMatch(load -> !load.server().prefillOnly());
-    if (!canGenerate) {
-      return Optional.empty();
-    }
+    List<ServerLoad> generating = thatLeadToGeneration(servers);
+    List<ServerLoad> permitted = crossing.permitted().apply(generating);
     CacheDirectory directory = CacheDirectory.of(prompt, servers, nowMs);
     Optional<ServerLoad> preferred =
         directory.isEmpty() ? preferredEngine(prompt, permitted) : Optional.empty();
@@ -151,6 +150,19 @@
         PromptPlan::server);
   }
 
+  /** Removes the engines that only prefill and for which no engine can decode. */
+  private static List<ServerLoad> thatLeadToGeneration(List<ServerLoad> servers) {
+    Set<String> decodingVersions =
+        servers.stream()
+            .map(ServerLoad::server)
+            .filter(server -> !server.prefillOnly())
+            .map(BackendServer::softwareVersion)
+            .collect(Collectors.toSet());
+    return servers.stream()
+        .filter(load -> decodingVersions.contains(load.server().softwareVersion()))
+        .toList();
+  }
+
   private <T> Optional<T> notifyChosen(Optional<T> chosen, Function<T, ServerLoad> server) {
     chosen.map(server).ifPresent(crossing.onChosen());
     return chosen;
@@ -227,15 +239,23 @@
    *
    * @param prompt the prompt
    * @param servers the candidates
-   * @param sourceDomain failure domain of the engine that holds the KV cache
+   * @param source engine that holds the KV cache
    * @param rates rates of the service's engines
    * @param nowMs monotonic time in milliseconds
    * @return the engine, or empty if no candidate can generate
    */
   public Optional<ServerLoad> chooseDecodeEngine(
-      Prompt prompt, List<ServerLoad> servers, String sourceDomain, EngineRates rates, long nowMs) {
+      Prompt prompt,
+      List<ServerLoad> servers,
+      BackendServer source,
+      EngineRates rates,
+      long nowMs) {
+    String sourceDomain = source.domain();
     List<ServerLoad> engines =
-        servers.stream().filter(load -> !load.server().prefillOnly()).toList();
+        servers.stream()
+            .filter(load -> !load.server().prefillOnly())
+            .filter(load -> load.server().isCompatibleWith(source))
+            .toList();
     List<ServerLoad> permitted = crossing.permitted().apply(engines);
     List<ServerLoad> usable =
         engines.stream()
@@ -283,6 +303,7 @@
     List<ServerLoad> engines =
         servers.stream()
             .filter(load -> !load.equals(runner))
+            .filter(load -> load.server().isCompatibleWith(runner.server()))
             .filter(load -> !load.server().prefillOnly() && !load.isAvoided(nowMs))
             .toList();
     Map<Boolean, List<ServerLoad>> byInside =
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/backend/BackendRegistryTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/backend/BackendRegistryTest.java
@@ -11,7 +11,7 @@
 
   private static BackendServer server(String id, long startedMs, boolean draining) {
     return new BackendServer(
-        id, startedMs, "desk", "10.0.0.1:80", "a", 6, draining, Optional.empty(), false);
+        id, startedMs, "desk", "v1", "10.0.0.1:80", "a", 6, draining, Optional.empty(), false);
   }
 
   private void announce(BackendServer server, long nowMs) {
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/dispatch/CrossingCostTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/dispatch/CrossingCostTest.java
@@ -22,6 +22,7 @@
             id,
             1,
             "s",
+            "v1",
             "10.0.0.1:80",
             id.substring(0, 1),
             16,
@@ -101,10 +102,11 @@
     ServerLoad far = engine("b1", EngineStage.DECODE, false);
     near.setOtherEntriesLoad(10, 0);
     List<ServerLoad> engines = List.of(near, far);
-    assertThat(chooser(0.01).chooseDecodeEngine(PROMPT, engines, "a", RATES, NOW_MS))
+    assertThat(chooser(0.01).chooseDecodeEngine(PROMPT, engines, near.server(), RATES, NOW_MS))
         .contains(near);
     near.setOtherEntriesLoad(32, 0);
-    assertThat(chooser(0.01).chooseDecodeEngine(PROMPT, engines, "a", RATES, NOW_MS)).contains(far);
+    assertThat(chooser(0.01).chooseDecodeEngine(PROMPT, engines, near.server(), RATES, NOW_MS))
+        .contains(far);
   }
 
   /** Guards against copies in another domain whose bytes cost more than what they save. */
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/dispatch/EngineRatesTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/dispatch/EngineRatesTest.java
@@ -17,7 +17,8 @@
 
   private static ServerLoad engine(EngineStage stage) {
     return new ServerLoad(
-        new BackendServer("e", 1, "s", "10.0.0.1:80", "a", 2, false, Optional.of(stage), false),
+        new BackendServer(
+            "e", 1, "s", "v1", "10.0.0.1:80", "a", 2, false, Optional.of(stage), false),
         500_000,
         40);
   }
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/dispatch/ServerChooserTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/dispatch/ServerChooserTest.java
@@ -22,7 +22,9 @@
 
   private static ServerLoad server(String id, String domain, Optional<EngineStage> stage) {
     return new ServerLoad(
-        new BackendServer(id, 1, "s", "10.0.0.1:80", domain, 6, false, stage, false), 500_000, 40);
+        new BackendServer(id, 1, "s", "v1", "10.0.0.1:80", domain, 6, false, stage, false),
+        500_000,
+        40);
   }
 
   private static List<ServerLoad> engines() {
@@ -160,7 +162,8 @@
   void returnsEmptyWithoutADecodeEngine() {
     List<ServerLoad> engines = List.of(server("p", "a", Optional.of(EngineStage.PREFILL)));
     assertThat(chooser.planPrefill(prompt("part", 100, 10), engines, RATES, NOW_MS)).isEmpty();
-    assertThat(chooser.chooseDecodeEngine(prompt("part", 100, 10), engines, "a", RATES, NOW_MS))
+    BackendServer source = engines.get(0).server();
+    assertThat(chooser.chooseDecodeEngine(prompt("part", 100, 10), engines, source, RATES, NOW_MS))
         .isEmpty();
   }
 
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/dispatch/ServerNoticesTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/dispatch/ServerNoticesTest.java
@@ -14,7 +14,7 @@
 
   private static BackendServer server(String id, long startedMs) {
     return new BackendServer(
-        id, startedMs, "desk", "10.0.0.1:80", "a", 4, false, Optional.empty(), false);
+        id, startedMs, "desk", "v1", "10.0.0.1:80", "a", 4, false, Optional.empty(), false);
   }
 
   /** Counts the requests that may be sent at a moment, and sends them. */
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/dispatch/SharedSpeedTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/dispatch/SharedSpeedTest.java
@@ -59,6 +59,7 @@
         "e-" + number,
         1,
         "llm",
+        "v1",
         "10.0.0.%d:80".formatted(number + 1),
         "d" + number % DOMAINS,
         16,
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/room/RoomReplay.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/room/RoomReplay.java
@@ -160,7 +160,7 @@
     BackendServer announcement() {
       String domain = "d" + Integer.parseInt(id.substring(1)) % 3;
       return new BackendServer(
-          id, 1, SERVICE, "10.0.0.1:80", domain, slots, false, Optional.empty(), false);
+          id, 1, SERVICE, "v1", "10.0.0.1:80", domain, slots, false, Optional.empty(), false);
     }
 
     void receive(Runnable onEnd, Runnable onRejected) {
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/spill/ServiceSpillTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/spill/ServiceSpillTest.java
@@ -27,7 +27,8 @@
   private static ServerLoad server(String id) {
     String domain = id.substring(0, 1);
     return new ServerLoad(
-        new BackendServer(id, 1, "s", "10.0.0.1:80", domain, 6, false, Optional.empty(), false),
+        new BackendServer(
+            id, 1, "s", "v1", "10.0.0.1:80", domain, 6, false, Optional.empty(), false),
         0,
         40);
   }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/AttemptPlanner.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/AttemptPlanner.java
@@ -10,6 +10,7 @@
 import io.samphiregauge.core.result.Result;
 import io.samphiregauge.core.site.EngineSpec;
 import io.samphiregauge.core.site.RequestKind;
+import io.samphiregauge.core.stream.StreamBinding;
 import io.samphiregauge.gateway.port.KvSource;
 import java.util.HashSet;
 import java.util.List;
@@ -29,13 +30,27 @@
   private final EventLoopContext context;
   private final RoutedRequest request;
   private final RetainedKvCache kvCache;
+  private final StreamBinding binding;
   private final Set<String> triedServers = new HashSet<>();
   private boolean prefillFailed;
 
-  AttemptPlanner(EventLoopContext context, RoutedRequest request, RetainedKvCache kvCache) {
+  /**
+   * Creates the planner of a request.
+   *
+   * @param context state of the event loop
+   * @param request the request
+   * @param kvCache KV cache that an engine retains for the request
+   * @param binding software version that may go on with the request's stream
+   */
+  AttemptPlanner(
+      EventLoopContext context,
+      RoutedRequest request,
+      RetainedKvCache kvCache,
+      StreamBinding binding) {
     this.context = context;
     this.request = request;
     this.kvCache = kvCache;
+    this.binding = binding;
   }
 
   /** Excludes a server from the later attempts. */
@@ -64,8 +79,7 @@
   }
 
   private Result<ForwardAttempt> next(ServerChooser chooser, long nowMs) {
-    List<ServerLoad> candidates =
-        context.serverLoads().candidates(request.service(), triedServers, nowMs);
+    List<ServerLoad> candidates = candidates(nowMs);
     if (request.prompt().isEmpty()) {
       return chooser
           .chooseServer(candidates, nowMs)
@@ -77,13 +91,16 @@
     if (kvCache.source().isPresent()) {
       // The prompt is prefilled already, so the request is not refused any more.
       KvSource source = kvCache.source().orElseThrow();
-      return chooser
-          .chooseDecodeEngine(prompt, candidates, source.server().domain(), rates, nowMs)
-          .map(
-              load ->
-                  ForwardAttempt.fromKvCache(load, source, backupFor(chooser, prompt, load, nowMs)))
-          .map(Result::success)
-          .orElseGet(() -> noServer(nowMs));
+      Optional<ServerLoad> decoding =
+          chooser.chooseDecodeEngine(prompt, candidates, source.server(), rates, nowMs);
+      if (decoding.isPresent()) {
+        ServerLoad load = decoding.orElseThrow();
+        return Result.success(
+            ForwardAttempt.fromKvCache(load, source, backupFor(chooser, prompt, load, nowMs)));
+      }
+      // The engines that could use the KV cache have gone; others prefill the prompt themselves.
+      kvCache.free();
+      excludePrefillEngines();
     }
     List<ServerLoad> prefillCandidates =
         prefillFailed
@@ -102,6 +119,14 @@
         .orElseGet(() -> noServer(nowMs));
   }
 
+  private List<ServerLoad> candidates(long nowMs) {
+    List<ServerLoad> usable =
+        context.serverLoads().candidates(request.service(), triedServers, nowMs);
+    return binding.version().isEmpty()
+        ? usable
+        : usable.stream().filter(load -> binding.permits(load.server())).toList();
+  }
+
   /** Returns the monotonic time in milliseconds at which the caller gives up without progress. */
   long givesUpAtMs() {
     return Math.min(
@@ -126,12 +151,29 @@
    */
   private Result<ForwardAttempt> noServer(long nowMs) {
     OptionalLong pauseEndsAtMs =
-        context.serverLoads().pauseEndsAtMs(request.service(), triedServers, nowMs);
+        context
+            .serverLoads()
+            .pauseEndsAtMs(
+                request.service(),
+                server -> !triedServers.contains(server.incarnation()) && binding.permits(server),
+                nowMs);
     return Result.failed(
-        pauseEndsAtMs.isPresent()
-            ? new ServersPaused(pauseEndsAtMs.getAsLong())
-            : ErrorResponse.notRun(
-                "no_server", "No server of the service can be used.", NO_SERVER_RETRY_MS));
+        pauseEndsAtMs.isPresent() ? new ServersPaused(pauseEndsAtMs.getAsLong()) : noServerError());
+  }
+
+  private ErrorResponse noServerError() {
+    return binding
+        .version()
+        .map(
+            version ->
+                ErrorResponse.notRun(
+                    "no_server_of_version",
+                    "No server of software version " + version + " can go on with the stream.",
+                    NO_SERVER_RETRY_MS))
+        .orElseGet(
+            () ->
+                ErrorResponse.notRun(
+                    "no_server", "No server of the service can be used.", NO_SERVER_RETRY_MS));
   }
 
   /**
@@ -164,6 +206,7 @@
    */
   Optional<ForwardAttempt> continueFromBackup(ForwardAttempt lost) {
     return lost.backup()
+        .filter(load -> binding.permits(load.server()))
         .filter(load -> context.serverLoads().isUsable(load, DualTimestamp.monotonicNowMs()))
         .map(
             load ->
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ProxyExchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ProxyExchange.java
@@ -43,6 +43,7 @@
   private final RequestDecisionLog log;
   private final CrashGuard crashGuard;
   private final AttemptRecorder recorder;
+  private final StreamBinder streamBinder;
   private final RequestHold hold;
   private final AttemptPlanner planner;
   private final ReceivedResponses responses;
@@ -66,9 +67,10 @@
     this.request = request;
     this.responses = new ReceivedResponses(context, caller.alloc());
     this.kvCache = new RetainedKvCache(context);
-    this.planner = new AttemptPlanner(context, request, kvCache);
     this.connector = new AttemptConnector(context);
     this.log = new RequestDecisionLog(context, request);
+    this.streamBinder = new StreamBinder();
+    this.planner = new AttemptPlanner(context, request, kvCache, streamBinder.binding());
     this.crashGuard = new CrashGuard(context, request, log);
     this.recorder = new AttemptRecorder(context, request, log, crashGuard);
     this.hold = new RequestHold(context, request, log, this::tryNextServer, this::fail);
@@ -120,11 +122,7 @@
   }
 
   private boolean onNoServer(Failure failure) {
-    if (!(failure instanceof ServersPaused paused)) {
-      return refuse((ErrorResponse) failure);
-    }
-    return hold.tryHold(paused, planner.givesUpAtMs())
-        || refuse(paused.asError(DualTimestamp.monotonicNowMs()));
+    return hold.tryHold(failure, planner.givesUpAtMs()).map(this::refuse).orElse(true);
   }
 
   private boolean refuse(ErrorResponse error) {
@@ -251,6 +249,7 @@
     }
     if (writer.writeEvents(response.head(), bytes)) {
       recorder.recordExecutionStarted(current);
+      streamBinder.onEvent(current.load().server());
     }
     if (writer.isOutOfSequence()) {
       onResponseLost(current, new InvalidServerResponse("the stream was not continued"));
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RequestHold.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RequestHold.java
@@ -4,6 +4,7 @@
 import io.samphiregauge.core.admit.WaitPolicy;
 import io.samphiregauge.core.queue.QueueDecision;
 import io.samphiregauge.core.queue.QueuedRequest;
+import io.samphiregauge.core.result.Failure;
 import io.samphiregauge.core.site.SiteConfig;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -119,13 +120,23 @@
   }
 
   /**
-   * Holds the request until a server shows room, or the first pause ends, whichever is earlier.
+   * Holds a request that no server can take now until a server shows room, or the first pause ends,
+   * whichever is earlier.
    *
-   * @param paused when the first pause ends
+   * @param failure {@link ServersPaused} if servers have asked for a pause, or the error to send
    * @param givesUpAtMs monotonic time in milliseconds at which the caller gives up
-   * @return whether it is held; otherwise it must be refused
+   * @return the error to send, or empty if the request is held
    */
-  boolean tryHold(ServersPaused paused, long givesUpAtMs) {
+  Optional<ErrorResponse> tryHold(Failure failure, long givesUpAtMs) {
+    if (!(failure instanceof ServersPaused paused)) {
+      return Optional.of((ErrorResponse) failure);
+    }
+    return hold(paused, givesUpAtMs)
+        ? Optional.empty()
+        : Optional.of(paused.asError(DualTimestamp.monotonicNowMs()));
+  }
+
+  private boolean hold(ServersPaused paused, long givesUpAtMs) {
     long nowMs = DualTimestamp.monotonicNowMs();
     long objectiveAtMs = request.arrivedAt().monotonicMs() + request.route().targetLatencyMs();
     long waitMs = paused.waitMs(nowMs);
@@ -152,14 +163,14 @@
    */
   boolean end() {
     context.heldRequests().remove(request.service(), resume);
-    boolean ended =
+    boolean removed =
         queued
             .filter(known -> context.waitingRoom().remove(request.service(), known.work().number()))
             .isPresent();
-    if (ended) {
+    if (removed) {
       logWaitEnd("ended", DualTimestamp.monotonicNowMs() - request.arrivedAt().monotonicMs());
     }
     context.waitingRoom().onRoomChanged();
-    return ended;
+    return removed;
   }
 }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServerLoadTable.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ServerLoadTable.java
@@ -16,6 +16,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * Holds the load of each announced backend server, by service, and decides which of them a request
@@ -136,14 +137,14 @@
    * Returns when a request may use the first of the servers that want a pause.
    *
    * @param service name of the service
-   * @param triedIncarnations servers that the request has already tried
+   * @param eligible selects the servers that the request could use after their pause
    * @param nowMs monotonic time in milliseconds
    * @return the time in monotonic milliseconds; empty if no server wants a pause
    */
-  OptionalLong pauseEndsAtMs(String service, Set<String> triedIncarnations, long nowMs) {
+  OptionalLong pauseEndsAtMs(String service, Predicate<BackendServer> eligible, long nowMs) {
     return byService.getOrDefault(service, List.of()).stream()
         .map(ServerLoad::server)
-        .filter(server -> !isTried(server, triedIncarnations))
+        .filter(eligible)
         .filter(server -> !notices.mayContact(server, nowMs))
         .flatMapToLong(server -> notices.contactableAtMs(server, nowMs).stream())
         .min();
--- a/samphiregauge-gateway/src/test/java/io/samphiregauge/gateway/traffic/SlotRoomTest.java
+++ b/samphiregauge-gateway/src/test/java/io/samphiregauge/gateway/traffic/SlotRoomTest.java
@@ -20,7 +20,16 @@
   private ServerLoad addServer() {
     BackendServer server =
         new BackendServer(
-            "i" + servers.size(), 1, "s", "10.0.0.1:80", "d", 2, false, Optional.empty(), false);
+            "i" + servers.size(),
+            1,
+            "s",
+            "v1",
+            "10.0.0.1:80",
+            "d",
+            2,
+            false,
+            Optional.empty(),
+            false);
     servers.add(new ServerLoad(server, 0, 40));
     return servers.get(servers.size() - 1);
   }
