Continue a caller's stream at the software version that began it

What callers saw: a stream that they took up after a break was answered 200 and ran to its end, but its first part came from one version and the rest from another, with nothing to show it.

Cause: no code read Resumes, and no entry knew which version had begun a stream of another one.

While one version is listed, it began every stream, and nothing is written per stream. Else the origin of each resumable stream is recorded in the store, collected for some tens of milliseconds (StreamOriginLog). A take-up reads both, unless its entry knows the stream, and is refused with 503 if the version stays unknown or has no server. After a restore of the store the listing counts as incomplete for 30 s.

On a route with several services, the attempt that began the stream decides the service, so that a take-up does not come to another one.

SoftwareVersionTest, EngineVersionTest, RestoredStoreVersionTest and TakeUpFaultTest play breaks within an answer, take-ups at the same and at other entries, after all entries were killed and after the store came back older.

--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/backend/BackendRegistry.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/backend/BackendRegistry.java
@@ -103,6 +103,16 @@
     return inGracePeriod.values().stream().mapToLong(ExpiringServer::expiresMs).min();
   }
 
+  /**
+   * Returns all servers that may still run requests: announced ones, and those in their grace
+   * period.
+   */
+  public List<BackendServer> known() {
+    List<BackendServer> known = new ArrayList<>(announced.values());
+    inGracePeriod.values().forEach(entry -> known.add(entry.server()));
+    return List.copyOf(known);
+  }
+
   /**
    * Returns the servers that may receive requests.
    *
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/Gateway.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/Gateway.java
@@ -138,6 +138,8 @@
                 control::publishCrash,
                 control::recordCompletion,
                 control::recordTrialStarted,
+                control::recordStreamOrigin,
+                control::findStreamVersion,
                 control::onPeerMessage),
             metrics,
             log)
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/BackendFollower.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/BackendFollower.java
@@ -20,6 +20,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 
 /**
  * Follows the announcements of backend servers and maintains the list of usable servers. Reads the
@@ -60,12 +61,12 @@
   private final String processId;
   private final BooleanSupplier queried;
   private final long drainMs;
+  private final Consumer<List<BackendServer>> knownServersHandler;
   private final Runnable onChange;
   private final BackendRegistry registry;
   private final AnnouncementLog announcementLog = new AnnouncementLog();
   private final TopicFollower storeFollower;
   private List<BackendServer> servers = List.of();
-  private long serversVersion;
   private boolean serversKnown;
   private boolean followsStore;
 
@@ -103,6 +104,8 @@
    * @param self this entry
    * @param queried returns whether other entries query this one
    * @param drainMs time for which a draining server may still receive requests, in milliseconds
+   * @param knownServersHandler receives all servers that may still run requests after each change
+   *     of one of them, before {@code onChange} is called
    * @param onChange called when the usable servers have changed
    */
   BackendFollower(
@@ -112,12 +115,14 @@
       GroupMember self,
       BooleanSupplier queried,
       long drainMs,
+      Consumer<List<BackendServer>> knownServersHandler,
       Runnable onChange) {
     this.control = control;
     this.valueDecoder = valueDecoder;
     this.processId = self.vm() + "@" + self.startMs();
     this.queried = queried;
     this.drainMs = drainMs;
+    this.knownServersHandler = knownServersHandler;
     this.onChange = onChange;
     this.registry = new BackendRegistry((long) (drainMs * LAPSE_GRACE_SHARE));
     this.storeFollower =
@@ -149,10 +154,6 @@
     return servers;
   }
 
-  long serversVersion() {
-    return serversVersion;
-  }
-
   /** Returns whether all announcements have been read at least once. */
   boolean serversKnown() {
     return serversKnown;
@@ -290,11 +291,11 @@
                 control.schedule(
                     Math.max(0, expiryMs - DualTimestamp.monotonicNowMs()),
                     () -> publishIfChanged(registry.expire(DualTimestamp.monotonicNowMs()))));
+    knownServersHandler.accept(registry.known());
     List<BackendServer> next = registry.usable();
     if (!next.equals(servers)) {
       logChangedServers(servers, next);
       servers = next;
-      serversVersion++;
       onChange.run();
     }
   }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/GatewayControl.java
@@ -2,8 +2,10 @@
 
 import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.RandomSource;
+import io.samphiregauge.core.backend.BackendServer;
 import io.samphiregauge.core.fleet.DomainTarget;
 import io.samphiregauge.core.fleet.DomainTargets;
+import io.samphiregauge.core.stream.ServiceVersion;
 import io.samphiregauge.core.suspect.RequestTraits;
 import io.samphiregauge.gateway.GatewayView;
 import io.samphiregauge.gateway.GroupMember;
@@ -41,7 +43,11 @@
   private final UsageExchange usageExchange;
   private final UsageRecorder usageRecorder;
   private final Optional<DutyWorker> dutyWorker;
+  private final VersionRegistrar versionRegistrar;
+  private final StreamOriginLog streamOrigins;
   private final Consumer<GatewayView> viewPublisher;
+  private List<BackendServer> usableServers = List.of();
+  private long usableServersVersion;
 
   /**
    * Starts the control thread, which does not access the store before {@link #start}.
@@ -72,6 +78,10 @@
             this::isQueried,
             this::publishView);
     this.groupFollower = new GroupFollower(control, store, self, this::onMembersChanged);
+    this.versionRegistrar = createVersionRegistrar(store);
+    this.streamOrigins = createStreamOrigins(store);
+    storeEra.addListener(versionRegistrar::onStoreEra);
+    storeEra.addListener(era -> streamOrigins.onStoreEra());
     this.backendFollower =
         new BackendFollower(
             control,
@@ -80,6 +90,7 @@
             self,
             this::isQueried,
             settings.getDrainMs(),
+            versionRegistrar::onServers,
             this::publishView);
     this.crashFollower =
         new CrashFollower(control, store, () -> groupFollower.members().size(), this::isQueried);
@@ -107,6 +118,24 @@
     dutyWorker.ifPresent(worker -> storeEra.addListener(worker::onStoreEra));
   }
 
+  private VersionRegistrar createVersionRegistrar(SharedStore store) {
+    return new VersionRegistrar(
+        control,
+        store,
+        () -> groupFollower.rank() == 0,
+        DualTimestamp::monotonicNowMs,
+        this::onVersionsChanged);
+  }
+
+  private StreamOriginLog createStreamOrigins(SharedStore store) {
+    return new StreamOriginLog(
+        control,
+        store,
+        versionRegistrar,
+        () -> groupFollower.members().size(),
+        DualTimestamp::monotonicNowMs);
+  }
+
   private DutyWorker createDutyWorker(
       EntrySettings settings, GroupMember self, SharedStore store, FleetApi api) {
     return new DutyWorker(
@@ -139,6 +168,7 @@
         () -> {
           crashFollower.start(crashExchange::recordStored);
           configFollower.start();
+          versionRegistrar.start();
           backendFollower.start();
           groupFollower.memberExchange().start(peerSender);
           usageExchange.start(peerSender);
@@ -220,6 +250,28 @@
         () -> usageRecorder.count(team, DualTimestamp.monotonicNowMs() - startedAt.monotonicMs()));
   }
 
+  /**
+   * Records that a server sent the first event of a stream. Thread-safe.
+   *
+   * @param attemptId identifier of the caller's attempt that received it
+   * @param origin service and software version of the server
+   */
+  public void recordStreamOrigin(String attemptId, ServiceVersion origin) {
+    control.post(() -> streamOrigins.record(attemptId, origin));
+  }
+
+  /**
+   * Finds the software version that began a stream. Thread-safe.
+   *
+   * @param service service to which the request is routed
+   * @param attemptId attempt of the caller that received the first event
+   * @param handler receives the version, or empty if it cannot be told, on the control thread
+   */
+  public void findStreamVersion(
+      String service, String attemptId, Consumer<Optional<String>> handler) {
+    control.post(() -> streamOrigins.find(service, attemptId, handler));
+  }
+
   /** Leaves the group, stops performing duties and writes unwritten counts. Thread-safe. */
   public void leave() {
     control.post(
@@ -267,13 +319,23 @@
     publishView();
   }
 
+  private void onVersionsChanged() {
+    streamOrigins.onVersionsChanged();
+    publishView();
+  }
+
   private void publishView() {
+    List<BackendServer> servers = versionRegistrar.usable(backendFollower.servers());
+    if (!servers.equals(usableServers)) {
+      usableServers = servers;
+      usableServersVersion++;
+    }
     viewPublisher.accept(
         new GatewayView(
             configFollower.config(),
             configFollower.configAsOf(),
-            backendFollower.servers(),
-            backendFollower.serversVersion(),
+            usableServers,
+            usableServersVersion,
             groupFollower.members(),
             groupFollower.lease(),
             crashExchange.suspects()));
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/port/RequestMeta.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/port/RequestMeta.java
@@ -12,10 +12,13 @@
  * @param teamKey key that identifies the caller's team
  * @param prompt description of the prompt, if the request is for a model engine
  * @param lastEventId identifier of the last event of the stream that the caller has received
+ * @param resumedAttemptId identifier of the caller's attempt that brought the first event of the
+ *     stream that this request takes up
  */
 public record RequestMeta(
     Optional<String> attemptId,
     OptionalLong deadlineMs,
     Optional<String> teamKey,
     Optional<Prompt> prompt,
-    Optional<String> lastEventId) {}
+    Optional<String> lastEventId,
+    Optional<String> resumedAttemptId) {}
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/port/Topic.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/port/Topic.java
@@ -10,6 +10,10 @@
   DUTY,
   /** Usage counts of each process, by window. */
   USAGE,
+  /** Software versions of the backend servers of each service; keyed. */
+  VERSIONS,
+  /** Software versions that began streams. */
+  STREAMS,
   /** Requests whose backend server terminated while running them. */
   CRASHES
 }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
@@ -11,6 +11,7 @@
 import io.samphiregauge.core.dispatch.ServerLoad;
 import io.samphiregauge.core.exchange.LoadExchange;
 import io.samphiregauge.core.site.EngineSpec;
+import io.samphiregauge.core.stream.ServiceVersion;
 import io.samphiregauge.core.suspect.RequestTraits;
 import io.samphiregauge.gateway.GatewayView;
 import io.samphiregauge.gateway.port.Dialect;
@@ -24,6 +25,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 /**
@@ -261,6 +263,25 @@
     callbacks.onTrialStarted().accept(trait);
   }
 
+  /** Reports to the control thread which software version began a stream. */
+  void reportStreamBegun(String attemptId, ServiceVersion origin) {
+    callbacks.onStreamBegun().accept(attemptId, origin);
+  }
+
+  /**
+   * Finds the software version that began the stream that a request takes up.
+   *
+   * @param handler receives the version, or empty if it cannot be told, on the event loop
+   */
+  void findStreamVersion(RoutedRequest request, Consumer<Optional<String>> handler) {
+    callbacks
+        .streamVersionFinder()
+        .find(
+            request.service(),
+            request.meta().resumedAttemptId().orElse(""),
+            version -> execute(() -> handler.accept(version)));
+  }
+
   void schedule(long delayMs, Runnable task) {
     eventLoop.schedule(task, delayMs, TimeUnit.MILLISECONDS);
   }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ProxyExchange.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/ProxyExchange.java
@@ -69,11 +69,12 @@
     this.kvCache = new RetainedKvCache(context);
     this.connector = new AttemptConnector(context);
     this.log = new RequestDecisionLog(context, request);
-    this.streamBinder = new StreamBinder();
+    this.streamBinder = new StreamBinder(context, request, log);
     this.planner = new AttemptPlanner(context, request, kvCache, streamBinder.binding());
     this.crashGuard = new CrashGuard(context, request, log);
     this.recorder = new AttemptRecorder(context, request, log, crashGuard);
-    this.hold = new RequestHold(context, request, log, this::tryNextServer, this::fail);
+    this.hold =
+        new RequestHold(context, request, log, streamBinder, this::tryNextServer, this::fail);
     this.writer = new CallerResponseWriter(caller, request.route().kind().isStream());
   }
 
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RequestHold.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RequestHold.java
@@ -10,8 +10,9 @@
 import java.util.function.Consumer;
 
 /**
- * The waits of one request before it is sent: in the {@link WaitingRoom} while its service is full,
- * and while every server that could serve it has asked for a pause. Confined to one event loop.
+ * The waits of one request before it is sent: until it is known which software version may go on
+ * with its stream, in the {@link WaitingRoom} while its service is full, and while every server
+ * that could serve it has asked for a pause. Confined to one event loop.
  */
 final class RequestHold implements QueuedCaller {
   /** Expected time of a response after the pause; the load of a server is then unknown. */
@@ -20,10 +21,12 @@
   private final EventLoopContext context;
   private final RoutedRequest request;
   private final RequestDecisionLog log;
+  private final StreamBinder streamBinder;
   private final Runnable resume;
   private final Consumer<ErrorResponse> refuse;
   private Optional<QueuedRequest> queued = Optional.empty();
   private boolean waiting;
+  private boolean ended;
 
   /**
    * Creates the hold of a request that is not held.
@@ -31,6 +34,7 @@
    * @param context state of the event loop
    * @param request the request
    * @param log log of the request
+   * @param streamBinder finds the version of a stream that the caller takes up
    * @param resume makes the request look for a server
    * @param refuse ends the request with an error
    */
@@ -38,11 +42,13 @@
       EventLoopContext context,
       RoutedRequest request,
       RequestDecisionLog log,
+      StreamBinder streamBinder,
       Runnable resume,
       Consumer<ErrorResponse> refuse) {
     this.context = context;
     this.request = request;
     this.log = log;
+    this.streamBinder = streamBinder;
     this.resume = resume;
     this.refuse = refuse;
   }
@@ -53,6 +59,15 @@
    * @param givesUpAtMs monotonic time in milliseconds at which the caller gives up
    */
   void enter(long givesUpAtMs) {
+    streamBinder.resolve(
+        refusal -> {
+          if (!ended) {
+            refusal.ifPresentOrElse(refuse, () -> enterQueue(givesUpAtMs));
+          }
+        });
+  }
+
+  private void enterQueue(long givesUpAtMs) {
     if (!context.waitingRoom().isEnabled()) {
       resume.run();
       return;
@@ -162,6 +177,7 @@
    * @return whether the request was waiting for a place
    */
   boolean end() {
+    ended = true;
     context.heldRequests().remove(request.service(), resume);
     boolean removed =
         queued
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RequestRouter.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RequestRouter.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.samphiregauge.core.DualTimestamp;
 import io.samphiregauge.core.RandomSource;
+import io.samphiregauge.core.TextHash;
 import io.samphiregauge.core.result.Result;
 import io.samphiregauge.core.site.SiteConfig;
 import io.samphiregauge.core.site.SiteRoute;
@@ -75,7 +76,7 @@
       return Result.failed(staleConfigError());
     }
     long timeoutMs = Math.min(matchedRoute.timeoutMs(), meta.deadlineMs().orElse(Long.MAX_VALUE));
-    String service = matchedRoute.selectService(random.nextLong() >>> 1);
+    String service = matchedRoute.selectService(serviceDraw(meta));
     boolean hasEngine = config.engineSpec(service).isPresent();
     return Result.success(
         new RoutedRequest(
@@ -89,6 +90,17 @@
             arrivedAtMs + timeoutMs));
   }
 
+  /**
+   * Draws the service on a route with several services. A caller that takes a stream up draws the
+   * one that began it, unless the weights have changed.
+   */
+  private long serviceDraw(RequestMeta meta) {
+    return meta.resumedAttemptId()
+        .or(meta::attemptId)
+        .map(id -> Integer.toUnsignedLong(TextHash.crc32c(id)))
+        .orElseGet(() -> random.nextLong() >>> 1);
+  }
+
   /**
    * Returns whether a configuration still allows a request that was routed by an earlier one.
    *
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RoutedRequest.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RoutedRequest.java
@@ -51,6 +51,12 @@
         LOWEST_RANK, firstTeamRank + Math.min(RANKS_PER_TEAM_PRIORITY - 1, route.priority()));
   }
 
+  /** Returns whether the caller takes up a stream of which it has received events. */
+  boolean isTakeUp() {
+    return route.kind().isStream()
+        && (meta.lastEventId().isPresent() || meta.resumedAttemptId().isPresent());
+  }
+
   /** Computes the traits by which other requests that crash the same servers are recognised. */
   RequestTraits crashTraits() {
     List<String> values = new ArrayList<>();
