Reset the connection of an HTTP/1.0 caller whose stream breaks off

What callers saw: a stream that broke off after its first event, ran out of time, or whose entry was killed looked complete to callers of HTTP/1.0, with and without keep-alive. Cause: HTTP/1.0 has no chunks, so the end of the connection marks the end of a response of unknown length. The entry closed the connection of a broken stream in the same way as that of a whole one. Change: from the head of such a response until all of it is written, RequestSequencer sets SO_LINGER to 0, so that any close resets the connection: in ProxyExchange, after an exception, and by the kernel when the process is killed. Before the regular end the option is withdrawn, and the kernel delivers the rest as before.

--- a/samphiregauge-net/src/main/java/io/samphiregauge/net/RequestSequencer.java
+++ b/samphiregauge-net/src/main/java/io/samphiregauge/net/RequestSequencer.java
@@ -3,6 +3,7 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.TooLongFrameException;
@@ -65,6 +66,7 @@
   private boolean http10;
   private boolean headRequest;
   private boolean bodyAllowed = true;
+  private boolean endsWithConnection;
   private long deadlineMs = NO_DEADLINE;
   private Optional<ScheduledFuture<?>> timer = Optional.empty();
 
@@ -143,6 +145,7 @@
       failed = failed || state == State.BODY;
       bodyAllowed = mayHaveBody(head);
       setFraming(head);
+      setResetOnClose(ctx, true);
     }
     boolean last = part instanceof LastHttpContent;
     if (bodyAllowed) {
@@ -176,6 +179,7 @@
   private void setFraming(HttpResponse head) {
     boolean chunked = HttpUtil.isTransferEncodingChunked(head);
     boolean hasContentLength = head.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
+    endsWithConnection = http10 && (chunked || !hasContentLength) && mayHaveBody(head);
     if (http10 && chunked) {
       HttpUtil.setTransferEncodingChunked(head, false);
       keepAlive = false;
@@ -187,6 +191,17 @@
     HttpUtil.setKeepAlive(head.headers(), HttpVersion.HTTP_1_1, keepAlive);
   }
 
+  /**
+   * Sets whether closing the connection resets it. The end of a connection marks the end of a
+   * response that has neither a length nor chunks, so it must not end regularly within one, also if
+   * the process is killed.
+   */
+  private void setResetOnClose(ChannelHandlerContext ctx, boolean reset) {
+    if (endsWithConnection && ctx.channel().isActive()) {
+      ctx.channel().config().setOption(ChannelOption.SO_LINGER, reset ? 0 : -1);
+    }
+  }
+
   private boolean mayHaveBody(HttpResponse head) {
     int status = head.status().code();
     return !headRequest && status != 204 && status != 304;
@@ -195,7 +210,11 @@
   private void finishResponse(ChannelHandlerContext ctx, ChannelPromise promise) {
     if (!keepAlive || closing) {
       state = State.LINGERING;
-      promise.addListener(written -> linger(ctx));
+      promise.addListener(
+          written -> {
+            setResetOnClose(ctx, !written.isSuccess());
+            linger(ctx);
+          });
       return;
     }
     state = State.IDLE;
