Let streams that callers take up go before new requests

Cause: a take-up was weighed like a new request, but can use only the servers of its version; the entries had just started and knew no caches, so that the expected waits were long everywhere. Its caller would lose the part of the answer that it has, and take-ups are few.

--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RoutedRequest.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RoutedRequest.java
@@ -44,11 +44,14 @@
   /** Limits the size of a crash report; parts with longer identifiers are only in the digest. */
   private static final int MAX_PART_ID_CHARS = 128;
 
-  /** Returns the rank in the queue of an engine, from 0, the most urgent, to 9. */
+  /**
+   * Returns the rank in the queue of an engine, from 0, the most urgent, to 9. Within a team
+   * priority, streams that callers take up go first: they have waited for them before.
+   */
   int rank() {
     int firstTeamRank = team.map(Team::priority).orElse(0) * RANKS_PER_TEAM_PRIORITY;
-    return Math.min(
-        LOWEST_RANK, firstTeamRank + Math.min(RANKS_PER_TEAM_PRIORITY - 1, route.priority()));
+    int routeRank = isTakeUp() ? 0 : Math.min(RANKS_PER_TEAM_PRIORITY - 1, route.priority());
+    return Math.min(LOWEST_RANK, firstTeamRank + routeRank);
   }
 
   /** Returns whether the caller takes up a stream of which it has received events. */
