--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/StreamOriginLog.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/StreamOriginLog.java
@@ -186,9 +186,7 @@
 
   private boolean onOriginsRead(List<Lookup> lookups, ReadResult page) {
     if (page instanceof ReadResult.Expired expired) {
-      nextOffset = expired.firstOffset();
-      readOrigins(lookups);
-      return true;
+      return skipExpired(lookups, expired);
     }
     ReadResult.Records records = (ReadResult.Records) page;
     nextOffset = records.nextOffset();
@@ -197,15 +195,23 @@
       readOrigins(lookups);
       return true;
     }
-    List<Lookup> unknown =
-        lookups.stream().filter(lookup -> origins.find(lookup.attemptId()).isEmpty()).toList();
-    if (unknown.isEmpty()) {
-      return endLookups(lookups, service -> Optional.empty());
+    if (lookups.stream().allMatch(lookup -> origins.find(lookup.attemptId()).isPresent())) {
+      return endLookups(lookups, any -> Optional.empty());
     }
     registrar.readSnapshot(result -> onSnapshotRead(lookups, result));
     return true;
   }
 
+  private boolean skipExpired(List<Lookup> lookups, ReadResult.Expired expired) {
+    if (expired.firstOffset() == nextOffset) {
+      // The store does not say where its records begin.
+      return endLookups(lookups, any -> Optional.empty());
+    }
+    nextOffset = expired.firstOffset();
+    readOrigins(lookups);
+    return true;
+  }
+
   private void addStored(StoreRecord record) {
     RecordDecoder.decode(record, StreamOrigins.class, LOG, "origins_unreadable")
         .ifPresent(
