--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/duty/DutyLease.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/duty/DutyLease.java
@@ -237,7 +237,9 @@
         : observed.position().isBeforeAnyRecord();
   }
 
-  /** Returns the era of a record, left out before the first restore so that older entries read it. */
+  /**
+   * Returns the era of a record, left out before the first restore so that older entries read it.
+   */
   private static Optional<Long> eraField(StorePosition position) {
     return Optional.of(position.era()).filter(era -> era != StorePosition.FIRST_ERA);
   }
