--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/StreamOriginLog.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/control/StreamOriginLog.java
@@ -17,6 +17,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 
@@ -227,8 +228,14 @@
         lookups, service -> result.value().flatMap(snapshot -> snapshot.onlyVersion(service)));
   }
 
-  /** Tells each caller the recorded version, or else the only version of its service. */
-  private boolean endLookups(List<Lookup> lookups, OnlyVersion onlyVersion) {
+  /**
+   * Tells each caller the version that began its stream.
+   *
+   * @param lookups the callers
+   * @param onlyVersion returns the version for a service whose streams have no record, if it is
+   *     certain
+   */
+  private boolean endLookups(List<Lookup> lookups, Function<String, Optional<String>> onlyVersion) {
     for (Lookup lookup : lookups) {
       Optional<ServiceVersion> origin = origins.find(lookup.attemptId());
       lookup
@@ -236,16 +243,10 @@
           .accept(
               origin.isPresent()
                   ? versionAt(lookup.service(), origin)
-                  : onlyVersion.of(lookup.service()));
+                  : onlyVersion.apply(lookup.service()));
     }
     lookupRunning = false;
     startLookup();
     return true;
   }
-
-  /** Returns the version that began all streams of a service, if that is certain. */
-  @FunctionalInterface
-  private interface OnlyVersion {
-    Optional<String> of(String service);
-  }
 }
