--- a/samphiregauge-core/src/main/java/io/samphiregauge/core/stream/VersionLedger.java
+++ b/samphiregauge-core/src/main/java/io/samphiregauge/core/stream/VersionLedger.java
@@ -22,9 +22,9 @@
  */
 public final class VersionLedger {
   /**
-   * Time after which no stream of a version that has gone can be taken up any more, in
-   * milliseconds. Streams and their retries last up to 8 s on the known deployments, and servers
-   * run on for seconds after their announcement is removed.
+   * Time after which no stream of a version that has gone can be resumed any more, in milliseconds.
+   * Streams and their retries last up to 8 s on the known deployments, and servers run on for
+   * seconds after their announcement is removed.
    */
   public static final long SETTLE_MS = 30_000;
 
@@ -60,7 +60,7 @@
     }
 
     /**
-     * Returns the version that began all streams of a service that can still be taken up.
+     * Returns the version that began all streams of a service that can still be resumed.
      *
      * @param service name of the service
      * @return the version, or empty if there are several or it is not certain
--- a/samphiregauge-core/src/test/java/io/samphiregauge/core/stream/VersionLedgerTest.java
+++ b/samphiregauge-core/src/test/java/io/samphiregauge/core/stream/VersionLedgerTest.java
@@ -129,7 +129,7 @@
     assertThat(update.expected()).isEqualTo(new StorePosition(1, 9));
   }
 
-  /** Guards against the removal of a version whose streams may still be taken up. */
+  /** Guards against the removal of a version whose streams may still be resumed. */
   @Test
   void versionIsRetiredWhenItHasBeenAbsentForLong() {
     ledger.onServers(List.of(server(OLD), server(NEW)), 0);
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/port/RequestMeta.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/port/RequestMeta.java
@@ -13,7 +13,7 @@
  * @param prompt description of the prompt, if the request is for a model engine
  * @param lastEventId identifier of the last event of the stream that the caller has received
  * @param resumedAttemptId identifier of the caller's attempt that brought the first event of the
- *     stream that this request takes up
+ *     stream that this request resumes
  */
 public record RequestMeta(
     Optional<String> attemptId,
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/AttemptPlanner.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/AttemptPlanner.java
@@ -135,7 +135,7 @@
 
   private Result<ForwardAttempt> admit(
       double expectedMs, long nowMs, Supplier<ForwardAttempt> attempt) {
-    if (request.isTakeUp()) {
+    if (request.isResumption()) {
       // It goes ahead of the requests on which the expected time is based, and a refusal would cost
       // its caller the part of the answer that it already has.
       return Result.success(attempt.get());
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/EventLoopContext.java
@@ -269,7 +269,7 @@
   }
 
   /**
-   * Finds the software version that began the stream that a request takes up.
+   * Finds the software version that began the stream that a request resumes.
    *
    * @param handler receives the version, or empty if it cannot be told, on the event loop
    */
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RequestHold.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RequestHold.java
@@ -34,7 +34,7 @@
    * @param context state of the event loop
    * @param request the request
    * @param log log of the request
-   * @param streamBinder finds the version of a stream that the caller takes up
+   * @param streamBinder finds the version of a stream that the caller resumes
    * @param resume makes the request look for a server
    * @param refuse ends the request with an error
    */
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RequestRouter.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RequestRouter.java
@@ -91,7 +91,7 @@
   }
 
   /**
-   * Draws the service on a route with several services. A caller that takes a stream up draws the
+   * Draws the service on a route with several services. A caller that resumes a stream draws the
    * one that began it, unless the weights have changed.
    */
   private long serviceDraw(RequestMeta meta) {
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RoutedRequest.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/RoutedRequest.java
@@ -46,16 +46,16 @@
 
   /**
    * Returns the rank in the queue of an engine, from 0, the most urgent, to 9. Within a team
-   * priority, streams that callers take up go first: they have waited for them before.
+   * priority, streams that callers resume go first: they have waited for them before.
    */
   int rank() {
     int firstTeamRank = team.map(Team::priority).orElse(0) * RANKS_PER_TEAM_PRIORITY;
-    int routeRank = isTakeUp() ? 0 : Math.min(RANKS_PER_TEAM_PRIORITY - 1, route.priority());
+    int routeRank = isResumption() ? 0 : Math.min(RANKS_PER_TEAM_PRIORITY - 1, route.priority());
     return Math.min(LOWEST_RANK, firstTeamRank + routeRank);
   }
 
-  /** Returns whether the caller takes up a stream of which it has received events. */
-  boolean isTakeUp() {
+  /** Returns whether the caller resumes a stream of which it has received events. */
+  boolean isResumption() {
     return route.kind().isStream()
         && (meta.lastEventId().isPresent() || meta.resumedAttemptId().isPresent());
   }
--- a/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/StreamBinder.java
+++ b/samphiregauge-gateway/src/main/java/io/samphiregauge/gateway/traffic/StreamBinder.java
@@ -32,13 +32,13 @@
   }
 
   /**
-   * Finds the version of a stream that the caller takes up.
+   * Finds the version of a stream that the caller resumes.
    *
    * @param handler receives the error to send if the version is unknown; called at once for other
    *     requests
    */
   void resolve(Consumer<Optional<ErrorResponse>> handler) {
-    if (!request.isTakeUp()) {
+    if (!request.isResumption()) {
       handler.accept(Optional.empty());
       return;
     }
@@ -47,7 +47,7 @@
 
   private Optional<ErrorResponse> onVersionFound(Optional<String> version) {
     log.add(
-        "take_up",
+        "resumption",
         "attempt=%s version=%s"
             .formatted(request.meta().resumedAttemptId().orElse("-"), version.orElse("-")));
     version.ifPresent(binding::bind);
